--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,29 @@
+import gts from 'gts';
+import tsdoc from 'eslint-plugin-tsdoc';
+
+export default [
+  {ignores: ['**/dist/**', '**/node_modules/**']},
+  ...gts,
+  {
+    files: ['**/*.ts'],
+    languageOptions: {parserOptions: {project: './tsconfig.eslint.json'}},
+    plugins: {tsdoc},
+    rules: {'tsdoc/syntax': 'error'},
+  },
+  {
+    files: ['**/*.js'],
+    languageOptions: {
+      sourceType: 'module',
+      globals: {process: 'readonly', console: 'readonly'},
+    },
+  },
+  {
+    rules: {
+      // The workspace resolves its own packages through npm workspaces.
+      'n/no-unpublished-import': 'off',
+      'n/no-extraneous-import': 'off',
+      'n/no-missing-import': 'off',
+      'n/no-process-exit': 'off',
+    },
+  },
+];
--- /dev/null
+++ b/packages/backend/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Client of backend servers.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * HTTP front end for callers.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/core/src/core/ownership/index.ts
@@ -0,0 +1,2 @@
+/** Election, leases, placement and hand-over of shards. */
+export {};
--- /dev/null
+++ b/packages/core/src/core/request/index.ts
@@ -0,0 +1,2 @@
+/** Queues, limits, retries, attempts and crash records. */
+export {};
--- /dev/null
+++ b/packages/core/src/core/state/index.ts
@@ -0,0 +1,2 @@
+/** Fold of the log, bundles, snapshots and routing. */
+export {};
--- /dev/null
+++ b/packages/core/src/types/bundle.ts
@@ -0,0 +1,84 @@
+/** Schemas of the signed bundle that operators publish. */
+import {z} from 'zod';
+
+/** Largest number of shards that a service may have. */
+export const MAX_SHARDS = 65_536;
+
+const idSchema = z
+  .string()
+  .min(1)
+  .max(64)
+  .regex(/^[a-z0-9][a-z0-9.-]*$/, 'lower-case letters, digits, dots, hyphens');
+
+/** What happens to the shards of a server whose old assigner is unreachable. */
+export const adoptionPolicySchema = z.enum(['hold', 'lapse']);
+export type AdoptionPolicy = z.infer<typeof adoptionPolicySchema>;
+
+/** A service: a set of keys divided into a fixed number of shards. */
+export const serviceSchema = z.strictObject({
+  id: idSchema,
+  shards: z.int().min(1).max(MAX_SHARDS),
+  adoption: adoptionPolicySchema.default('hold'),
+  maxBodyBytes: z
+    .int()
+    .min(0)
+    .default(1024 ** 3),
+});
+export type Service = z.infer<typeof serviceSchema>;
+
+/** A batch of servers under one support contract. */
+export const batchSchema = z.discriminatedUnion('state', [
+  z.strictObject({id: idSchema, state: z.literal('serving')}),
+  z.strictObject({
+    id: idSchema,
+    state: z.literal('leaving'),
+    /** Wall time from which the servers of the batch get no new work. */
+    leaveAtMs: z.int().min(0),
+  }),
+]);
+export type Batch = z.infer<typeof batchSchema>;
+
+/** A backend server as the bundle describes it. */
+export const serverSchema = z.strictObject({
+  id: idSchema,
+  service: idSchema,
+  batch: idSchema,
+  zone: idSchema,
+  host: z.string().min(1),
+  port: z.int().min(1).max(65_535),
+  slots: z.int().min(1).max(1024),
+  connections: z.int().min(1).max(65_535),
+  checksGrants: z.boolean().default(true),
+});
+export type Server = z.infer<typeof serverSchema>;
+
+/** An operator who may sign the next bundle version. */
+export const signerSchema = z.strictObject({
+  keyId: idSchema,
+  /** Ed25519 public key, SPKI DER in base64. */
+  publicKey: z.string().min(1),
+});
+export type Signer = z.infer<typeof signerSchema>;
+
+/** One version of the configuration of a deployment. */
+export const bundleSchema = z.strictObject({
+  deployment: idSchema,
+  version: z.int().min(1),
+  zones: z.array(idSchema).min(1),
+  services: z.array(serviceSchema).min(1),
+  batches: z.array(batchSchema).min(1),
+  servers: z.array(serverSchema).min(1),
+  /** Servers that the operator has confirmed as stopped for good. */
+  stopped: z.array(idSchema).default([]),
+  signers: z.array(signerSchema).min(1),
+});
+export type Bundle = z.infer<typeof bundleSchema>;
+
+/** A bundle as it stands on the log: the exact signed text and its signature. */
+export const signedBundleSchema = z.strictObject({
+  payload: z.string(),
+  keyId: idSchema,
+  /** Ed25519 signature over the UTF-8 bytes of the payload, in base64. */
+  signature: z.string(),
+});
+export type SignedBundle = z.infer<typeof signedBundleSchema>;
--- /dev/null
+++ b/packages/core/src/types/errors.ts
@@ -0,0 +1,80 @@
+/** Every typed failure outside the request path, in one table. */
+
+/** Builders of all failures; each yields a plain record with its `kind`. */
+export const ERRORS = {
+  malformedRecord: (detail: string) =>
+    ({kind: 'malformed-record', detail}) as const,
+  staleTerm: (zone: string, holder: string | null, term: number) =>
+    ({kind: 'stale-term', zone, holder, term}) as const,
+  staleBase: (detail: string, currentOffset: number) =>
+    ({kind: 'stale-base', detail, currentOffset}) as const,
+  staleVersion: (
+    versionInForce: number,
+    winnerAuthor: string,
+    winnerOffset: number,
+  ) =>
+    ({
+      kind: 'stale-version',
+      versionInForce,
+      winnerAuthor,
+      winnerOffset,
+    }) as const,
+  noAuthority: (zone: string, service: string, shard: number) =>
+    ({kind: 'no-authority', zone, service, shard}) as const,
+  serverNotEligible: (server: string, detail: string) =>
+    ({kind: 'server-not-eligible', server, detail}) as const,
+  unknownShard: (service: string, shard: number) =>
+    ({kind: 'unknown-shard', service, shard}) as const,
+  tooManyIsolatedKeys: (service: string, limit: number) =>
+    ({kind: 'too-many-isolated-keys', service, limit}) as const,
+  malformedBundle: (path: string, detail: string) =>
+    ({kind: 'malformed-bundle', path, detail}) as const,
+  unknownSigner: (keyId: string) => ({kind: 'unknown-signer', keyId}) as const,
+  wrongSignature: (keyId: string) =>
+    ({kind: 'wrong-signature', keyId}) as const,
+  shardCountChanged: (service: string, from: number, to: number) =>
+    ({kind: 'shard-count-changed', service, from, to}) as const,
+  snapshotMissing: (firstOffset: number) =>
+    ({kind: 'snapshot-missing', firstOffset}) as const,
+  logUnavailable: (detail: string) =>
+    ({kind: 'log-unavailable', detail}) as const,
+  logExpired: (firstOffset: number) =>
+    ({kind: 'log-expired', firstOffset}) as const,
+  appendUncertain: (id: string, detail: string) =>
+    ({kind: 'append-uncertain', id, detail}) as const,
+  vmListUnavailable: (detail: string) =>
+    ({kind: 'vm-list-unavailable', detail}) as const,
+  serverUnreachable: (server: string, detail: string) =>
+    ({kind: 'server-unreachable', server, detail}) as const,
+  leaseRefused: (server: string, term: number) =>
+    ({kind: 'lease-refused', server, term}) as const,
+  peerProtocol: (detail: string) => ({kind: 'peer-protocol', detail}) as const,
+  peerUnauthenticated: (detail: string) =>
+    ({kind: 'peer-unauthenticated', detail}) as const,
+  invalidSetting: (
+    section: string,
+    key: string,
+    found: string,
+    allowed: string,
+  ) => ({kind: 'invalid-setting', section, key, found, allowed}) as const,
+  unreadableFile: (path: string, detail: string) =>
+    ({kind: 'unreadable-file', path, detail}) as const,
+  operatorUnavailable: (endpoint: string, detail: string) =>
+    ({kind: 'operator-unavailable', endpoint, detail}) as const,
+} as const;
+
+/** Any failure of the table. */
+export type WisteriarunError = ReturnType<(typeof ERRORS)[keyof typeof ERRORS]>;
+
+/**
+ * Describes a failure on one line of `kind` and key=value pairs.
+ *
+ * @param error - A failure of the table.
+ * @returns Text for logs and terminals.
+ */
+export function describeError(error: WisteriarunError): string {
+  const pairs = Object.entries(error)
+    .filter(([name]) => name !== 'kind')
+    .map(([name, value]) => `${name}=${JSON.stringify(value)}`);
+  return [error.kind, ...pairs].join(' ');
+}
--- /dev/null
+++ b/packages/core/src/types/lease.ts
@@ -0,0 +1,77 @@
+/** Schemas of the lease calls that servers accept. */
+import {z} from 'zod';
+
+/** Fencing token of a dispatcher; compared by term, then by sequence. */
+export const fenceSchema = z.strictObject({
+  term: z.int().min(0),
+  seq: z.int().min(0),
+});
+export type Fence = z.infer<typeof fenceSchema>;
+
+/** A shard that the lease's holder may serve at exactly this epoch. */
+export const grantSchema = z.strictObject({
+  service: z.string(),
+  shard: z.int().min(0),
+  epoch: z.int().min(0),
+});
+export type Grant = z.infer<typeof grantSchema>;
+
+/** Body of a lease call; it replaces the server's lease as a whole. */
+export const leaseRequestSchema = z.strictObject({
+  zone: z.string(),
+  term: z.int().min(0),
+  fence: fenceSchema,
+  dispatcher: z.string(),
+  /** Expiry on the server's own monotonic clock. */
+  expiresAtMs: z.number(),
+  grants: z.array(grantSchema),
+});
+export type LeaseRequest = z.infer<typeof leaseRequestSchema>;
+
+/** Shard of a service that still has requests running. */
+export const busyShardSchema = z.object({
+  service: z.string(),
+  shard: z.int(),
+});
+
+/** A server's answer to a lease or status call. */
+export const serverStatusSchema = z.object({
+  /** Changes at each start of the server's process. */
+  bootId: z.string(),
+  /** The server's monotonic clock when it answered. */
+  clockMs: z.number(),
+  /** Highest term seen; 0 before the first lease. */
+  term: z.int(),
+  fence: fenceSchema.nullable(),
+  dispatcher: z.string().nullable(),
+  busy: z.array(busyShardSchema),
+  inFlight: z.int(),
+  /** Load as the server reports it; may lag or mislead. */
+  load: z.number(),
+  draining: z.boolean(),
+});
+export type ServerStatus = z.infer<typeof serverStatusSchema>;
+
+/** Headers between entry VMs and servers, in lower case. */
+export const HEADERS = {
+  service: 'wisteriarun-service',
+  shard: 'wisteriarun-shard',
+  epoch: 'wisteriarun-epoch',
+  fence: 'wisteriarun-fence',
+  deadlineMs: 'wisteriarun-deadline-ms',
+  requestId: 'wisteriarun-request-id',
+  outcome: 'wisteriarun-outcome',
+  reason: 'wisteriarun-reason',
+  crashCount: 'wisteriarun-crash-count',
+  key: 'wisteriarun-key',
+  secret: 'wisteriarun-relay-secret',
+  idempotencyKey: 'idempotency-key',
+  requestTimeoutMs: 'request-timeout-ms',
+} as const;
+
+/** Path of the lease call on a server. */
+export const LEASE_PATH = '/wisteriarun/lease';
+/** Path of the status call on a server. */
+export const STATUS_PATH = '/wisteriarun/status';
+/** Prefix of the cancel call on a server; the request id follows. */
+export const CANCEL_PATH_PREFIX = '/wisteriarun/requests/';
--- /dev/null
+++ b/packages/core/test/outcome.test.ts
@@ -0,0 +1,22 @@
+import {describe, expect, it} from 'vitest';
+import {REASONS, isReason, requestFailure} from '@wisteriarun/core';
+
+describe('reason table', () => {
+  it('gives doubtful outcomes a gateway status and proven ones another', () => {
+    for (const info of Object.values(REASONS)) {
+      const gateway = info.status === 502 || info.status === 504;
+      expect(gateway).toBe(info.outcome === 'unknown');
+    }
+  });
+
+  it('reroutes only requests that are proven not run', () => {
+    for (const info of Object.values(REASONS)) {
+      if (info.reroute) expect(info.outcome).toBe('not-run');
+    }
+  });
+
+  it('does not take names inherited from objects for reasons', () => {
+    expect(isReason('toString')).toBe(false);
+    expect(isReason(requestFailure('no-owner').reason)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/ctl/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The wisteriactl operator client.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The wisteriarun daemon.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/log/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Client of the append-only log service.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Operator port and client.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Links between entry VMs.
+ *
+ * @packageDocumentation
+ */
+export * from './link/index.js';
+export * from './relay/index.js';
--- /dev/null
+++ b/packages/peer/src/link/index.ts
@@ -0,0 +1,2 @@
+/** Control link between entry VMs. */
+export {};
--- /dev/null
+++ b/packages/peer/src/relay/index.ts
@@ -0,0 +1,2 @@
+/** HTTP relay of requests between entry VMs. */
+export {};
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Settings, logs, metrics and the event time line.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/vm-list/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Client of the platform VM list.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/testing/bench/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Measurements.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/testing/demo/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * End-to-end demo.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/testing/standins/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Stand-ins for outside systems, for tests and the demo.
+ *
+ * @packageDocumentation
+ */
+export {};
