Add settings, logger, timeline, metrics and CBOR framing

Cause: every daemon package needs checked settings, log lines, metrics and frames, and none existed.

Ruled out: roarr's own JSON lines (one key=value line per event is the house format); cbor-x structure records (they depend on the state of one encoder); showing the found value of a secret or the text of a line without "=".

Change: loadSettings/parseSettings report every problem at once with section, key, found and allowed. FrameDecoder limits body and collection sizes and copies byte strings out of the receive buffer. Channel feeds most streams.

--- /dev/null
+++ b/packages/runtime/src/channel.ts
@@ -0,0 +1,43 @@
+/** Hot event streams that are fed by calls. */
+import {Stream} from 'most';
+import type {Scheduler, Sink} from 'most';
+
+interface Listener<T> {
+  readonly sink: Sink<T>;
+  readonly scheduler: Scheduler;
+}
+
+/** Feeds a `most` stream; listeners get only events after they subscribe. */
+export class Channel<T> {
+  readonly #listeners = new Set<Listener<T>>();
+  readonly stream: Stream<T> = new Stream<T>({
+    run: (sink: Sink<T>, scheduler: Scheduler) => {
+      const listener = {sink, scheduler};
+      this.#listeners.add(listener);
+      return {
+        dispose: () => {
+          this.#listeners.delete(listener);
+        },
+      };
+    },
+  });
+
+  /**
+   * Delivers an event to every listener before it returns.
+   *
+   * @param event - Event to deliver.
+   */
+  emit(event: T): void {
+    for (const {sink, scheduler} of [...this.#listeners]) {
+      sink.event(scheduler.now(), event);
+    }
+  }
+
+  /** Ends the stream for every listener. */
+  close(): void {
+    for (const {sink, scheduler} of [...this.#listeners]) {
+      sink.end(scheduler.now());
+    }
+    this.#listeners.clear();
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/enable-roarr.ts
@@ -0,0 +1,2 @@
+/** Must be imported before `roarr`, which discards messages without this. */
+process.env.ROARR_LOG = 'true';
--- /dev/null
+++ b/packages/runtime/src/framing.ts
@@ -0,0 +1,144 @@
+/** Length-prefixed CBOR frames of the control link. */
+import {ERRORS} from '@wisteriarun/core';
+import type {WisteriarunError} from '@wisteriarun/core';
+import {Encoder, setSizeLimits} from 'cbor-x';
+import {Result} from 'true-myth';
+
+/** Size of the length prefix. */
+export const FRAME_PREFIX_BYTES = 4;
+/** Largest CBOR body of a frame. */
+export const MAX_FRAME_BYTES = 1024 * 1024;
+
+/** Number of chunks from which small ones are joined to save memory. */
+const MAX_CHUNKS = 256;
+
+// A short frame could otherwise announce a collection of billions of items.
+setSizeLimits({
+  maxArraySize: MAX_FRAME_BYTES,
+  maxMapSize: MAX_FRAME_BYTES,
+  maxObjectSize: MAX_FRAME_BYTES,
+});
+
+// Structure records would depend on the state of one connection's encoder.
+const codec = new Encoder({useRecords: false, copyBuffers: true});
+
+/**
+ * Encodes a value as one frame.
+ *
+ * @param value - Plain data.
+ * @returns Prefix and body, or `peer-protocol` when the body is too large.
+ */
+export function encodeFrame(value: unknown): Result<Buffer, WisteriarunError> {
+  const body = codec.encode(value);
+  if (body.length > MAX_FRAME_BYTES) {
+    return Result.err(
+      ERRORS.peerProtocol(
+        `frame of ${body.length} bytes exceeds ${MAX_FRAME_BYTES}`,
+      ),
+    );
+  }
+  const frame = Buffer.allocUnsafe(FRAME_PREFIX_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, FRAME_PREFIX_BYTES);
+  return Result.ok(frame);
+}
+
+/** Decodes frames from chunks of any size; unusable after its first error. */
+export class FrameDecoder {
+  /** Largest body that is accepted from now on. */
+  maxFrameBytes: number;
+  #chunks: Buffer[] = [];
+  #bufferedBytes = 0;
+  #failed = false;
+
+  /**
+   * @param maxFrameBytes - Largest body that is accepted.
+   */
+  constructor(maxFrameBytes: number = MAX_FRAME_BYTES) {
+    this.maxFrameBytes = maxFrameBytes;
+  }
+
+  /**
+   * Adds a chunk and yields the frames that are complete.
+   *
+   * @param chunk - Bytes in the order of the stream.
+   * @returns Decoded values; the last one is `peer-protocol` on bad input.
+   */
+  decode(chunk: Buffer): Generator<Result<unknown, WisteriarunError>> {
+    if (!this.#failed && chunk.length > 0) {
+      this.#chunks.push(chunk);
+      this.#bufferedBytes += chunk.length;
+      if (this.#chunks.length > MAX_CHUNKS) {
+        this.#chunks = [Buffer.concat(this.#chunks)];
+      }
+    }
+    return this.#frames();
+  }
+
+  /**
+   * Checks that the stream did not end inside a frame.
+   *
+   * @returns `peer-protocol` when bytes of an incomplete frame are left.
+   */
+  end(): Result<void, WisteriarunError> {
+    if (this.#bufferedBytes === 0) return Result.ok(undefined);
+    const detail = `stream ended inside a frame after ${this.#bufferedBytes} bytes`;
+    return Result.err(ERRORS.peerProtocol(detail));
+  }
+
+  *#frames(): Generator<Result<unknown, WisteriarunError>> {
+    while (!this.#failed && this.#bufferedBytes >= FRAME_PREFIX_BYTES) {
+      const bodyBytes = this.#peekLength();
+      if (bodyBytes === 0 || bodyBytes > this.maxFrameBytes) {
+        yield this.#fail(
+          `frame length ${bodyBytes} is not within 1 to ${this.maxFrameBytes}`,
+        );
+        return;
+      }
+      if (this.#bufferedBytes < FRAME_PREFIX_BYTES + bodyBytes) return;
+      const frame = this.#take(FRAME_PREFIX_BYTES + bodyBytes);
+      yield this.#parse(frame.subarray(FRAME_PREFIX_BYTES));
+    }
+  }
+
+  #parse(body: Buffer): Result<unknown, WisteriarunError> {
+    try {
+      return Result.ok(codec.decode(body) as unknown);
+    } catch (error) {
+      return this.#fail(
+        `frame is not CBOR: ${error instanceof Error ? error.message : 'unknown cause'}`,
+      );
+    }
+  }
+
+  #fail(detail: string): Result<unknown, WisteriarunError> {
+    this.#failed = true;
+    this.#chunks = [];
+    this.#bufferedBytes = 0;
+    return Result.err(ERRORS.peerProtocol(detail));
+  }
+
+  #peekLength(): number {
+    const first = this.#chunks[0];
+    if (first !== undefined && first.length >= FRAME_PREFIX_BYTES) {
+      return first.readUInt32BE(0);
+    }
+    // A prefix that is split over chunks is joined once; bodies are not.
+    const joined = Buffer.concat(this.#chunks);
+    this.#chunks = [joined];
+    return joined.readUInt32BE(0);
+  }
+
+  #take(sizeBytes: number): Buffer {
+    const first = this.#chunks[0];
+    const joined =
+      first !== undefined && first.length >= sizeBytes
+        ? first
+        : Buffer.concat(this.#chunks);
+    const rest = joined === first ? this.#chunks.slice(1) : [];
+    const tail = joined.subarray(sizeBytes);
+    this.#chunks = tail.length > 0 ? [tail, ...rest] : rest;
+    this.#bufferedBytes -= sizeBytes;
+    return joined.subarray(0, sizeBytes);
+  }
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,4 +3,13 @@
  *
  * @packageDocumentation
  */
-export {};
+export * from './channel.js';
+export * from './clock.js';
+export * from './framing.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './nearest-name.js';
+export * from './settings.js';
+export {SECRET_PLACEHOLDER} from './settings-schema.js';
+export type {Settings} from './settings-schema.js';
+export * from './timeline.js';
--- /dev/null
+++ b/packages/runtime/src/logger.ts
@@ -0,0 +1,100 @@
+/** Log lines of key=value pairs, one for each event. */
+import './enable-roarr.js';
+import {ROARR, Roarr} from 'roarr';
+
+/** Levels in ascending severity with roarr's numbers. */
+export const LOG_LEVELS = {debug: 20, info: 30, warn: 40, error: 50} as const;
+export type LogLevel = keyof typeof LOG_LEVELS;
+
+/** Values of a log line. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | null | undefined>
+>;
+
+/** Writes one line for each event at or above its level. */
+export interface Logger {
+  debug(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+}
+
+/** Options of a logger. */
+export interface LoggerOptions {
+  readonly level: LogLevel;
+  readonly process: string;
+  readonly zone: string;
+  /** Values that are replaced wherever they appear in a line. */
+  readonly secrets?: readonly string[];
+  /** Receives each line without its line break; standard error by default. */
+  readonly write?: (line: string) => void;
+}
+
+const REDACTED = '[redacted]';
+const SECRET_NAME = /secret|token|password|authorization|private/i;
+const BARE_VALUE = /^[\w.:/@+-]+$/;
+
+type Write = (line: string) => void;
+
+const writeToStderr: Write = line => {
+  process.stderr.write(line + '\n');
+};
+
+// roarr has one writer for the process. It calls the writer before the log
+// call returns, so the logger in use can be held in a variable.
+let activeWrite: Write = writeToStderr;
+ROARR.write = line => activeWrite(line);
+ROARR.serializeMessage = message => {
+  const pairs = [
+    `time=${new Date(message.time).toISOString()}`,
+    `event=${formatValue(message.message)}`,
+  ];
+  for (const [name, value] of Object.entries(message.context)) {
+    if (value !== undefined) pairs.push(`${name}=${formatField(name, value)}`);
+  }
+  return pairs.join(' ');
+};
+
+function formatField(name: string, value: unknown): string {
+  return SECRET_NAME.test(name) ? REDACTED : formatValue(value);
+}
+
+function formatValue(value: unknown): string {
+  const text = String(value);
+  return BARE_VALUE.test(text) ? text : JSON.stringify(text);
+}
+
+/**
+ * Creates a logger.
+ *
+ * @param options - Level, identity of the process, secrets and destination.
+ * @returns The logger; calls below the level cost one comparison.
+ */
+export function createLogger(options: LoggerOptions): Logger {
+  const threshold = LOG_LEVELS[options.level];
+  const secrets = (options.secrets ?? [])
+    .filter(secret => secret.length > 0)
+    // A quoted value holds the escaped form.
+    .flatMap(secret => [secret, JSON.stringify(secret).slice(1, -1)]);
+  const destination = options.write ?? writeToStderr;
+  const write: Write = line => {
+    let safe = line;
+    for (const secret of secrets) safe = safe.replaceAll(secret, REDACTED);
+    destination(safe);
+  };
+  const at = (level: LogLevel) => (event: string, fields?: LogFields) => {
+    if (LOG_LEVELS[level] < threshold) return;
+    activeWrite = write;
+    // roarr treats % in a message as a format directive.
+    Roarr(
+      {level, process: options.process, zone: options.zone, ...fields},
+      event.replaceAll('%', '%%'),
+    );
+  };
+  return {
+    debug: at('debug'),
+    info: at('info'),
+    warn: at('warn'),
+    error: at('error'),
+  };
+}
