Add the control link between entry VMs

Cause: heartbeats, tables and handovers need an authenticated message link between every pair of entry VMs.

Ruled out: a proof without the prover's role (it could be reflected); keeping the first of two connections (each end can see another one first); closing silent links right after a pause of the own process (the unread messages may still be in the socket); destroying a duplicate at once (messages already sent on it would be lost).

The error table gets peer-unreachable, because a refused connection is no protocol error.

--- a/packages/core/src/types/errors.ts
+++ b/packages/core/src/types/errors.ts
@@ -49,6 +49,8 @@
   leaseRefused: (server: string, term: number) =>
     ({kind: 'lease-refused', server, term}) as const,
   peerProtocol: (detail: string) => ({kind: 'peer-protocol', detail}) as const,
+  peerUnreachable: (detail: string) =>
+    ({kind: 'peer-unreachable', detail}) as const,
   peerUnauthenticated: (detail: string) =>
     ({kind: 'peer-unauthenticated', detail}) as const,
   invalidSetting: (
--- /dev/null
+++ b/packages/peer/src/link/handshake.ts
@@ -0,0 +1,144 @@
+/** Mutual authentication of the two ends of a link. */
+import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
+import {ERRORS} from '@wisteriarun/core';
+import type {WisteriarunError} from '@wisteriarun/core';
+import {Result} from 'true-myth';
+import {z} from 'zod';
+
+/** Version of the handshake; part of every proof. */
+const PROTOCOL = 'wisteriarun-link-1';
+const NONCE_BYTES = 32;
+const MAC_BYTES = 32;
+const MAX_NAME_LENGTH = 64;
+
+/** Which end opened the connection. */
+export type LinkRole = 'connector' | 'acceptor';
+
+const bytes = (length: number) =>
+  z
+    .custom<Uint8Array>(value => value instanceof Uint8Array)
+    .refine(value => value.length === length, `${length} bytes`);
+
+const challengeSchema = z.strictObject({
+  kind: z.literal('challenge'),
+  protocol: z.literal(PROTOCOL),
+  deployment: z.string().min(1).max(MAX_NAME_LENGTH),
+  vm: z.string().min(1).max(MAX_NAME_LENGTH),
+  nonce: bytes(NONCE_BYTES),
+  /** Grows with each connection that the sender opens; 0 at an acceptor. */
+  attempt: z.int().min(0),
+});
+
+/** First frame of each end. */
+export type Challenge = z.infer<typeof challengeSchema>;
+
+const proofSchema = z.strictObject({
+  kind: z.literal('proof'),
+  mac: bytes(MAC_BYTES),
+});
+
+/** Second frame of each end. */
+export type Proof = z.infer<typeof proofSchema>;
+
+/** One end's view of one handshake. */
+export class Handshake {
+  readonly challenge: Challenge;
+  readonly #secret: string;
+  readonly #role: LinkRole;
+  #peer: Challenge | null = null;
+
+  /**
+   * @param identity - Own deployment, VM and secret.
+   * @param role - Which end this is.
+   * @param attempt - Number of the connection at a connector, else 0.
+   */
+  constructor(
+    identity: {
+      readonly deployment: string;
+      readonly vm: string;
+      readonly secret: string;
+    },
+    role: LinkRole,
+    attempt: number,
+  ) {
+    this.#secret = identity.secret;
+    this.#role = role;
+    this.challenge = {
+      kind: 'challenge',
+      protocol: PROTOCOL,
+      deployment: identity.deployment,
+      vm: identity.vm,
+      nonce: randomBytes(NONCE_BYTES),
+      attempt,
+    };
+  }
+
+  /**
+   * Takes the peer's challenge.
+   *
+   * @param frame - Decoded frame.
+   * @returns The challenge, or `peer-protocol` or `peer-unauthenticated`.
+   */
+  receiveChallenge(frame: unknown): Result<Challenge, WisteriarunError> {
+    const parsed = challengeSchema.safeParse(frame);
+    if (!parsed.success) {
+      return Result.err(ERRORS.peerProtocol('malformed challenge'));
+    }
+    if (parsed.data.deployment !== this.challenge.deployment) {
+      return Result.err(
+        ERRORS.peerUnauthenticated(
+          `peer belongs to deployment ${parsed.data.deployment}`,
+        ),
+      );
+    }
+    this.#peer = parsed.data;
+    return Result.ok(parsed.data);
+  }
+
+  /**
+   * Builds the own proof; the peer's challenge must have arrived.
+   *
+   * @returns The proof to send.
+   */
+  prove(): Proof {
+    return {kind: 'proof', mac: this.#mac(this.#role)};
+  }
+
+  /**
+   * Checks the peer's proof.
+   *
+   * @param frame - Decoded frame.
+   * @returns Nothing, or `peer-protocol` or `peer-unauthenticated`.
+   */
+  checkProof(frame: unknown): Result<void, WisteriarunError> {
+    const parsed = proofSchema.safeParse(frame);
+    if (!parsed.success) {
+      return Result.err(ERRORS.peerProtocol('malformed proof'));
+    }
+    const peerRole = this.#role === 'connector' ? 'acceptor' : 'connector';
+    if (timingSafeEqual(parsed.data.mac, this.#mac(peerRole))) {
+      return Result.ok(undefined);
+    }
+    return Result.err(ERRORS.peerUnauthenticated('wrong proof'));
+  }
+
+  /** The prover's role is included so that a proof cannot be reflected. */
+  #mac(prover: LinkRole): Buffer {
+    const own = this.challenge;
+    const peer = this.#peer;
+    if (peer === null) throw new Error('proof before the peer challenge');
+    const [connector, acceptor] =
+      this.#role === 'connector' ? [own, peer] : [peer, own];
+    const text = JSON.stringify([
+      PROTOCOL,
+      prover,
+      own.deployment,
+      connector.vm,
+      acceptor.vm,
+      Buffer.from(connector.nonce).toString('hex'),
+      Buffer.from(acceptor.nonce).toString('hex'),
+      connector.attempt,
+    ]);
+    return createHmac('sha256', this.#secret).update(text).digest();
+  }
+}
--- a/packages/peer/src/link/index.ts
+++ b/packages/peer/src/link/index.ts
@@ -1,2 +1,9 @@
 /** Control link between entry VMs. */
-export {};
+export {PeerMesh} from './peer-mesh.js';
+export type {
+  LinkEvent,
+  PeerAddress,
+  PeerEnvelope,
+  PeerMeshOptions,
+  PeerView,
+} from './types.js';
