Add client and watcher of the VM list

Cause: an absent id in the VM list proves that its server has stopped, so a faulty answer must never look like a removal.

Ruled out: taking an empty or partly malformed list (each would remove VMs that still run).

Change: VmListClient checks the whole answer, at most 8 MiB, within a time limit. VmListWatcher keeps the last good list and the set of removed ids.

--- /dev/null
+++ b/packages/vm-list/src/client.ts
@@ -0,0 +1,96 @@
+/** Reads the platform's list of VMs. */
+import {ERRORS} from '@wisteriarun/core';
+import type {WisteriarunError} from '@wisteriarun/core';
+import {Result} from 'true-myth';
+import {request} from 'undici';
+import {z} from 'zod';
+
+/** Largest answer that is read. */
+export const MAX_VM_LIST_BYTES = 8 * 1024 * 1024;
+const REQUEST_TIMEOUT_MS = 5_000;
+
+/** One VM of the platform. */
+export const vmEntrySchema = z.object({
+  id: z.string().min(1),
+  role: z.enum(['entry', 'server']),
+  zone: z.string().min(1),
+  address: z.string().min(1),
+  state: z.enum(['live', 'leaving']),
+});
+export type VmEntry = z.infer<typeof vmEntrySchema>;
+
+// The platform lists at least this VM, so an empty list is a fault.
+const vmListSchema = z.object({vms: z.array(vmEntrySchema).min(1)});
+
+/** Source of the VM list. */
+export interface VmListReader {
+  /**
+   * Reads the whole list once.
+   *
+   * @returns The VMs, or `vm-list-unavailable`.
+   */
+  read(): Promise<Result<VmEntry[], WisteriarunError>>;
+}
+
+/** HTTP client of the VM list. */
+export class VmListClient implements VmListReader {
+  readonly #url: string;
+
+  /**
+   * @param endpoint - Base URL of the VM list.
+   * @param timeoutMs - Limit of one read.
+   */
+  constructor(
+    endpoint: string,
+    private readonly timeoutMs: number = REQUEST_TIMEOUT_MS,
+  ) {
+    this.#url = `${endpoint}/vms`;
+  }
+
+  async read(): Promise<Result<VmEntry[], WisteriarunError>> {
+    try {
+      const signal = AbortSignal.timeout(this.timeoutMs);
+      const {statusCode, body} = await request(this.#url, {signal});
+      const text = await readText(body);
+      if (statusCode !== 200) return unavailable(`status ${statusCode}`);
+      if (text === null) return unavailable('answer is too large');
+      return parseVms(text);
+    } catch (error) {
+      return unavailable(error instanceof Error ? error.message : 'no cause');
+    }
+  }
+}
+
+function unavailable(detail: string): Result<never, WisteriarunError> {
+  return Result.err(ERRORS.vmListUnavailable(detail));
+}
+
+async function readText(body: AsyncIterable<Buffer>): Promise<string | null> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of body) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > MAX_VM_LIST_BYTES) return null;
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function parseVms(text: string): Result<VmEntry[], WisteriarunError> {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch {
+    return unavailable('answer is not JSON');
+  }
+  const parsed = vmListSchema.safeParse(json);
+  if (!parsed.success) {
+    const path = parsed.error.issues[0]?.path.join('.') ?? '';
+    return unavailable(`malformed answer at "${path}"`);
+  }
+  const {vms} = parsed.data;
+  if (new Set(vms.map(vm => vm.id)).size !== vms.length) {
+    return unavailable('an id is listed twice');
+  }
+  return Result.ok(vms);
+}
--- /dev/null
+++ b/packages/vm-list/src/watcher.ts
@@ -0,0 +1,130 @@
+/** Follows the VM list and keeps the last good one during an outage. */
+import type {WisteriarunError} from '@wisteriarun/core';
+import {Channel} from '@wisteriarun/runtime';
+import type {Clock} from '@wisteriarun/runtime';
+import type {Stream} from 'most';
+import type {VmEntry, VmListReader} from './client.js';
+
+/** Number of removed ids that are remembered; the oldest are dropped. */
+const MAX_REMOVED_IDS = 65_536;
+
+/** Difference between two good answers. */
+export interface VmListChange {
+  readonly vms: ReadonlyMap<string, VmEntry>;
+  readonly added: readonly VmEntry[];
+  /** Entries whose zone, address, role or state changed. */
+  readonly updated: readonly VmEntry[];
+  /** Ids that the list no longer contains. */
+  readonly removed: readonly string[];
+}
+
+/** Source and timing of a watcher. */
+export interface VmListWatcherOptions {
+  readonly reader: VmListReader;
+  readonly pollIntervalMs: number;
+  readonly clock: Clock;
+}
+
+/** Polls the VM list. */
+export class VmListWatcher {
+  readonly #options: VmListWatcherOptions;
+  readonly #changes = new Channel<VmListChange>();
+  readonly #failures = new Channel<WisteriarunError>();
+  readonly #removed = new Set<string>();
+  #vms: ReadonlyMap<string, VmEntry> = new Map();
+  #lastReadMs: number | null = null;
+  #timer: NodeJS.Timeout | null = null;
+  #running = false;
+
+  /**
+   * @param options - Source and timing.
+   */
+  constructor(options: VmListWatcherOptions) {
+    this.#options = options;
+  }
+
+  /** Changes of the list; the first good answer is a change. */
+  get changes(): Stream<VmListChange> {
+    return this.#changes.stream;
+  }
+
+  /** Failed reads. */
+  get failures(): Stream<WisteriarunError> {
+    return this.#failures.stream;
+  }
+
+  /** The last good list by id; empty before the first good answer. */
+  get vms(): ReadonlyMap<string, VmEntry> {
+    return this.#vms;
+  }
+
+  /** Monotonic time of the last good answer; null before the first. */
+  get lastReadMs(): number | null {
+    return this.#lastReadMs;
+  }
+
+  /** Ids that were listed earlier and are not any more. */
+  get removedIds(): ReadonlySet<string> {
+    return this.#removed;
+  }
+
+  /** Starts to poll, with the first read at once. */
+  start(): void {
+    if (this.#running) return;
+    this.#running = true;
+    void this.#poll();
+  }
+
+  /** Stops to poll; the last list stays readable. */
+  close(): void {
+    this.#running = false;
+    if (this.#timer !== null) clearTimeout(this.#timer);
+    this.#changes.close();
+    this.#failures.close();
+  }
+
+  async #poll(): Promise<void> {
+    const result = await this.#options.reader.read();
+    if (!this.#running) return;
+    this.#timer = setTimeout(
+      () => void this.#poll(),
+      this.#options.pollIntervalMs,
+    );
+    result.match({
+      Ok: vms => this.#apply(vms),
+      Err: error => this.#failures.emit(error),
+    });
+  }
+
+  #apply(vms: readonly VmEntry[]): void {
+    this.#lastReadMs = this.#options.clock.monotonicMs();
+    const previous = this.#vms;
+    const current = new Map(vms.map(vm => [vm.id, vm]));
+    const added = vms.filter(vm => !previous.has(vm.id));
+    const updated = vms.filter(vm => isUpdate(previous.get(vm.id), vm));
+    const removed = [...previous.keys()].filter(id => !current.has(id));
+    this.#vms = current;
+    for (const {id} of added) this.#removed.delete(id);
+    for (const id of removed) this.#removed.add(id);
+    this.#trimRemoved();
+    if (added.length + updated.length + removed.length === 0) return;
+    this.#changes.emit({vms: current, added, updated, removed});
+  }
+
+  #trimRemoved(): void {
+    for (const id of this.#removed) {
+      if (this.#removed.size <= MAX_REMOVED_IDS) return;
+      this.#removed.delete(id);
+    }
+  }
+}
+
+function isUpdate(before: VmEntry | undefined, after: VmEntry): boolean {
+  return (
+    before !== undefined &&
+    (before.role !== after.role ||
+      before.zone !== after.zone ||
+      before.address !== after.address ||
+      before.state !== after.state)
+  );
+}
--- /dev/null
+++ b/packages/vm-list/test/vm-list.test.ts
@@ -0,0 +1,134 @@
+import {createServer} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {SystemClock} from '@wisteriarun/runtime';
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {MAX_VM_LIST_BYTES, VmListClient, VmListWatcher} from '../src/index.js';
+import type {VmEntry, VmListChange} from '../src/index.js';
+
+const vm = (id: string, state: VmEntry['state'] = 'live'): VmEntry => ({
+  id,
+  role: 'server',
+  zone: 'a',
+  address: '10.0.0.1',
+  state,
+});
+
+let server: Server;
+let endpoint: string;
+let answer: (response: ServerResponse) => void;
+const listing =
+  (...vms: unknown[]) =>
+  (response: ServerResponse) =>
+    response.end(JSON.stringify({vms}));
+
+beforeEach(async () => {
+  server = createServer((_request, response) => answer(response));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  endpoint = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+});
+afterEach(async () => {
+  server.closeAllConnections();
+  await new Promise(resolve => server.close(resolve));
+});
+
+const faults: [string, (response: ServerResponse) => void][] = [
+  ['status 503', response => response.writeHead(503).end()],
+  ['text', response => response.end('<html>')],
+  ['no list', response => response.end('{}')],
+  ['an empty list', listing()],
+  ['an entry without id', listing({...vm('x'), id: undefined})],
+  ['an unknown state', listing({...vm('x'), state: 'gone'})],
+  ['one id twice', listing(vm('x'), vm('x'))],
+  [
+    'an oversize answer',
+    response => response.end(Buffer.alloc(MAX_VM_LIST_BYTES + 1, ' ')),
+  ],
+  [
+    'a cut answer',
+    response => {
+      response.writeHead(200, {'content-length': 1_000});
+      response.write('{"vms":[');
+      setTimeout(() => response.destroy(), 10);
+    },
+  ],
+  ['a reset connection', response => response.destroy()],
+  ['no answer in time', () => undefined],
+];
+
+describe('client', () => {
+  test('reads the list and ignores fields it does not know', async () => {
+    answer = listing({...vm('x'), extra: 1}, vm('y', 'leaving'));
+    const result = await new VmListClient(endpoint).read();
+    expect(result.isOk && result.value).toEqual([vm('x'), vm('y', 'leaving')]);
+  });
+
+  test.each(faults)('%s is a typed error', async (_name, fault) => {
+    answer = fault;
+    const result = await new VmListClient(endpoint, 300).read();
+    expect(result.isErr && result.error.kind).toBe('vm-list-unavailable');
+  });
+});
+
+describe('watcher', () => {
+  async function watch() {
+    const watcher = new VmListWatcher({
+      reader: new VmListClient(endpoint, 100),
+      pollIntervalMs: 10,
+      clock: new SystemClock(),
+    });
+    const changes: VmListChange[] = [];
+    let failures = 0;
+    void watcher.changes.observe(change => changes.push(change));
+    void watcher.failures.observe(() => {
+      failures += 1;
+    });
+    const until = async (condition: () => boolean) => {
+      const deadline = Date.now() + 5_000;
+      while (!condition()) {
+        if (Date.now() > deadline) throw new Error('timed out');
+        await new Promise(resolve => setTimeout(resolve, 5));
+      }
+    };
+    watcher.start();
+    return {watcher, changes, failureCount: () => failures, until};
+  }
+
+  test('emits additions, updates and removals, and nothing else', async () => {
+    answer = listing(vm('x'), vm('y'));
+    const {watcher, changes, until} = await watch();
+    await until(() => changes.length === 1);
+    answer = listing(vm('x', 'leaving'), vm('z'));
+    await until(() => changes.length === 2);
+    expect(changes[1]).toMatchObject({
+      added: [vm('z')],
+      updated: [vm('x', 'leaving')],
+      removed: ['y'],
+    });
+    expect([...watcher.removedIds]).toEqual(['y']);
+    const readMs = watcher.lastReadMs;
+    await until(() => watcher.lastReadMs !== readMs);
+    expect(changes).toHaveLength(2);
+    answer = listing(vm('x'), vm('y'), vm('z'));
+    await until(() => changes.length === 3);
+    expect([...watcher.removedIds]).toEqual([]);
+    watcher.close();
+  });
+
+  // Guards against an outage that looks like the removal of every VM, which
+  // would count as proof that their owners have stopped.
+  test.each(faults)('%s keeps the last list', async (_name, fault) => {
+    answer = listing(vm('x'), vm('y'));
+    const {watcher, changes, failureCount, until} = await watch();
+    await until(() => changes.length === 1);
+    answer = fault;
+    await until(() => failureCount() >= 2);
+    expect([...watcher.vms.keys()]).toEqual(['x', 'y']);
+    expect(watcher.removedIds.size).toBe(0);
+    expect(changes).toHaveLength(1);
+    answer = listing(vm('x'));
+    await until(() => changes.length === 2);
+    expect([...watcher.removedIds]).toEqual(['y']);
+    watcher.close();
+  });
+});
