--- a/packages/core/src/types/errors.ts
+++ b/packages/core/src/types/errors.ts
@@ -63,6 +63,8 @@
     ({kind: 'unreadable-file', path, detail}) as const,
   operatorUnavailable: (endpoint: string, detail: string) =>
     ({kind: 'operator-unavailable', endpoint, detail}) as const,
+  operatorRefused: (endpoint: string, status: number, detail: string) =>
+    ({kind: 'operator-refused', endpoint, status, detail}) as const,
 } as const;
 
 /** Any failure of the table. */
--- /dev/null
+++ b/packages/operator/src/server.ts
@@ -0,0 +1,207 @@
+/** Operator port of the daemon. */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {ERRORS} from '@wisteriarun/core';
+import type {WisteriarunError} from '@wisteriarun/core';
+import {Result} from 'true-myth';
+import type {
+  ExplainView,
+  HealthView,
+  OwnersView,
+  StatusView,
+  TimelineView,
+} from './views.js';
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const MAX_CONNECTIONS = 64;
+const REQUEST_TIMEOUT_MS = 10_000;
+const MAX_KEY_LENGTH = 2_048;
+const MAX_SERVICE_LENGTH = 64;
+
+/** Data that the operator port shows. */
+export interface OperatorSource {
+  health(): HealthView;
+  status(): StatusView;
+  owners(): OwnersView;
+  /** Returns null for an unknown service, or while there is no bundle. */
+  explain(service: string, key: string): ExplainView | null;
+  timeline(sinceSeq: number): TimelineView;
+  /** Prometheus text format. */
+  metrics(): string;
+}
+
+/** Address, token and data of an operator port. */
+export interface OperatorServerOptions {
+  readonly host: string;
+  /** Port 0 picks a free one. */
+  readonly port: number;
+  readonly token: string;
+  readonly source: OperatorSource;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly type: string;
+  readonly body: string;
+}
+
+const json = (status: number, value: unknown): Answer => ({
+  status,
+  type: 'application/json',
+  body: JSON.stringify(value),
+});
+const problem = (status: number, error: string) => json(status, {error});
+
+/** HTTP server for operators; it only reads. */
+export class OperatorServer {
+  readonly #options: OperatorServerOptions;
+  readonly #server: Server;
+  readonly #tokenDigest: Buffer;
+
+  /**
+   * @param options - Address, token and data.
+   */
+  constructor(options: OperatorServerOptions) {
+    this.#options = options;
+    this.#tokenDigest = digest(options.token);
+    this.#server = createServer(
+      {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS},
+      (request, response) => this.#serve(request, response),
+    );
+    this.#server.maxConnections = MAX_CONNECTIONS;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @returns The port, or `operator-unavailable`.
+   */
+  listen(): Promise<Result<number, WisteriarunError>> {
+    const {host, port} = this.#options;
+    return new Promise(resolve => {
+      this.#server.on('error', error => {
+        const endpoint = `${host}:${port}`;
+        resolve(
+          Result.err(ERRORS.operatorUnavailable(endpoint, error.message)),
+        );
+      });
+      this.#server.listen(port, host, () => {
+        resolve(Result.ok((this.#server.address() as AddressInfo).port));
+      });
+    });
+  }
+
+  /** Closes the listener and every connection. */
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.#server.close(() => resolve());
+      this.#server.closeAllConnections();
+    });
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    const answer = this.#answer(request);
+    response.writeHead(answer.status, {
+      'content-type': answer.type,
+      'content-length': Buffer.byteLength(answer.body),
+      'cache-control': 'no-store',
+      ...(answer.status === 401 ? {'www-authenticate': 'Bearer'} : {}),
+      // No route reads a body, so the connection of a request with one ends.
+      ...(hasBody(request) ? {connection: 'close'} : {}),
+    });
+    response.end(request.method === 'HEAD' ? undefined : answer.body);
+  }
+
+  #answer(request: IncomingMessage): Answer {
+    if (request.method !== 'GET' && request.method !== 'HEAD') {
+      return problem(405, 'only GET and HEAD are served');
+    }
+    const url = parseTarget(request.url ?? '');
+    if (url === null) return problem(400, 'malformed request target');
+    const {source} = this.#options;
+    if (url.pathname === '/health') {
+      const health = source.health();
+      return json(health.ok ? 200 : 503, health);
+    }
+    if (!this.#isAuthorized(request.headers.authorization)) {
+      return problem(401, 'missing or wrong token');
+    }
+    return this.#answerRoute(url);
+  }
+
+  #answerRoute(url: URL): Answer {
+    const {source} = this.#options;
+    switch (url.pathname) {
+      case '/status':
+        return json(200, source.status());
+      case '/owners':
+        return json(200, source.owners());
+      case '/explain':
+        return this.#explain(url.searchParams);
+      case '/timeline':
+        return this.#timeline(url.searchParams);
+      case '/metrics':
+        return {
+          status: 200,
+          type: 'text/plain; version=0.0.4',
+          body: source.metrics(),
+        };
+      default:
+        return problem(404, 'unknown path');
+    }
+  }
+
+  #explain(query: URLSearchParams): Answer {
+    const service = query.get('service') ?? '';
+    const key = query.get('key') ?? '';
+    if (service === '' || service.length > MAX_SERVICE_LENGTH) {
+      return problem(
+        400,
+        `service must have 1 to ${MAX_SERVICE_LENGTH} letters`,
+      );
+    }
+    if (key === '' || key.length > MAX_KEY_LENGTH) {
+      return problem(400, `key must have 1 to ${MAX_KEY_LENGTH} letters`);
+    }
+    const view = this.#options.source.explain(service, key);
+    return view === null
+      ? problem(404, 'unknown service or no bundle in force')
+      : json(200, view);
+  }
+
+  #timeline(query: URLSearchParams): Answer {
+    const since = query.get('since') ?? '0';
+    if (!/^\d{1,15}$/.test(since)) {
+      return problem(400, 'since must be a sequence number');
+    }
+    return json(200, this.#options.source.timeline(Number(since)));
+  }
+
+  /** Digests have one length, so the comparison takes constant time. */
+  #isAuthorized(header: string | undefined): boolean {
+    const match = /^Bearer (.+)$/i.exec(header ?? '');
+    return timingSafeEqual(digest(match?.[1] ?? ''), this.#tokenDigest);
+  }
+}
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
+
+function hasBody(request: IncomingMessage): boolean {
+  return (
+    request.headers['transfer-encoding'] !== undefined ||
+    (request.headers['content-length'] ?? '0') !== '0'
+  );
+}
+
+function parseTarget(target: string): URL | null {
+  if (!target.startsWith('/')) return null;
+  try {
+    return new URL(target, 'http://operator');
+  } catch {
+    return null;
+  }
+}
