Add wisteriactl with the commands of the operator port

Cause: operators had no way to read the state of a deployment.

Ruled out: a token as an argument (other users see it in the process list); sorting merged events pair by pair (offset and wall time give cycles when clocks differ); commands for bundle files, whose functions are not here yet.

Exit codes separate refusal, wrong use, unreachable ports and partial output.

--- /dev/null
+++ b/packages/ctl/src/commands/bundle-status.ts
@@ -0,0 +1,64 @@
+/** `bundle status`: the bundle in force at each VM. */
+import {askAll, createClients, printJson} from '../connection.js';
+import type {ConnectionOptions} from '../connection.js';
+import type {CliEnvironment} from '../environment.js';
+import {formatTable} from '../table.js';
+
+/**
+ * Shows the bundle in force at every operator port.
+ *
+ * @param options - Parsed options.
+ * @param environment - Process to print to.
+ * @returns The exit code.
+ */
+export async function showBundleStatus(
+  options: ConnectionOptions,
+  environment: CliEnvironment,
+): Promise<number> {
+  const clients = createClients(options, environment);
+  const gathered = await askAll(
+    clients,
+    client => client.status(),
+    environment,
+  );
+  if (gathered.answers.length === 0) return gathered.exitCode;
+  const rows = gathered.answers.map(status => ({
+    vm: status.vm,
+    zone: status.zone,
+    offset: status.offset,
+    logAvailable: status.logAvailable,
+    bundle: status.bundle,
+    problem: status.problem,
+  }));
+  if (options.json === true) {
+    printJson(rows, environment);
+    return gathered.exitCode;
+  }
+  environment.out(
+    formatTable(
+      [
+        'VM',
+        'ZONE',
+        'VERSION',
+        'BUNDLE OFFSET',
+        'AUTHOR',
+        'KEY',
+        'OFFSET',
+        'LOG',
+        'PROBLEM',
+      ],
+      rows.map(row => [
+        row.vm,
+        row.zone,
+        row.bundle?.version ?? null,
+        row.bundle?.offset ?? null,
+        row.bundle?.author ?? null,
+        row.bundle?.keyId ?? null,
+        row.offset,
+        row.logAvailable ? 'available' : 'unavailable',
+        row.problem,
+      ]),
+    ),
+  );
+  return gathered.exitCode;
+}
--- /dev/null
+++ b/packages/ctl/src/commands/timeline.ts
@@ -0,0 +1,78 @@
+/** `timeline`: the events of all processes in one order. */
+import {askAll, createClients, printJson} from '../connection.js';
+import type {ConnectionOptions} from '../connection.js';
+import type {CliEnvironment} from '../environment.js';
+import {matchesFilter, mergeEvents} from '../merge-events.js';
+import {formatTable, formatTime} from '../table.js';
+
+/** Options of `timeline`. */
+export interface TimelineOptions extends ConnectionOptions {
+  readonly key?: string;
+  readonly server?: string;
+  readonly from?: number;
+  readonly to?: number;
+}
+
+/**
+ * Merges and shows the events of every operator port.
+ *
+ * @param options - Parsed options.
+ * @param environment - Process to print to.
+ * @returns The exit code.
+ */
+export async function showTimeline(
+  options: TimelineOptions,
+  environment: CliEnvironment,
+): Promise<number> {
+  const clients = createClients(options, environment);
+  const gathered = await askAll(
+    clients,
+    client => client.timeline(),
+    environment,
+  );
+  if (gathered.answers.length === 0) return gathered.exitCode;
+  const filter = {
+    key: options.key,
+    server: options.server,
+    fromMs: options.from,
+    toMs: options.to,
+  };
+  const events = mergeEvents(
+    gathered.answers
+      .flatMap(view => view.events)
+      .filter(event => matchesFilter(event, filter)),
+  );
+  if (options.json === true) {
+    printJson(events, environment);
+    return gathered.exitCode;
+  }
+  environment.out(
+    formatTable(
+      [
+        'TIME',
+        'PROCESS',
+        'ZONE',
+        'OFFSET',
+        'TERM',
+        'EPOCH',
+        'KIND',
+        'CAUSE',
+        'FIELDS',
+      ],
+      events.map(event => [
+        formatTime(event.wallTimeMs),
+        event.process,
+        event.zone,
+        event.offset,
+        event.term,
+        event.epoch,
+        event.kind,
+        event.cause,
+        Object.entries(event.fields)
+          .map(([name, value]) => `${name}=${String(value)}`)
+          .join(' '),
+      ]),
+    ),
+  );
+  return gathered.exitCode;
+}
--- /dev/null
+++ b/packages/ctl/src/connection.ts
@@ -0,0 +1,190 @@
+/** Options and calls that all commands with an operator port share. */
+import {readFileSync} from 'node:fs';
+import {describeError} from '@wisteriarun/core';
+import type {WisteriarunError} from '@wisteriarun/core';
+import {OperatorClient} from '@wisteriarun/operator';
+import {InvalidArgumentError} from 'commander';
+import type {Command} from 'commander';
+import {Result} from 'true-myth';
+import type {CliEnvironment} from './environment.js';
+import {EXIT_CODES} from './exit-codes.js';
+import {escapeText} from './table.js';
+
+const ENDPOINT_VARIABLE = 'WISTERIARUN_OPERATOR';
+const TOKEN_VARIABLE = 'WISTERIARUN_OPERATOR_TOKEN';
+
+/** Parsed options of a command with an operator port. */
+export interface ConnectionOptions {
+  readonly endpoint?: readonly string[];
+  readonly tokenFile?: string;
+  readonly json?: boolean;
+}
+
+/** Wrong use of the command line that commander cannot see. */
+export class UsageError extends Error {}
+
+function parseEndpoint(text: string): string {
+  const match =
+    /^(?:http:\/\/)?([A-Za-z0-9.-]+|\[[0-9a-fA-F:]+\]):(\d{1,5})\/?$/.exec(
+      text.trim(),
+    );
+  const port = Number(match?.[2]);
+  if (match === null || port < 1 || port > 65_535) {
+    throw new InvalidArgumentError('Expected host:port.');
+  }
+  return `http://${match[1]}:${port}`;
+}
+
+/**
+ * Adds the shared options.
+ *
+ * @param command - Command that reads from operator ports.
+ * @returns The command.
+ */
+export function addConnectionOptions(command: Command): Command {
+  return command
+    .option(
+      '-e, --endpoint <host:port>',
+      `operator port, may be repeated (or ${ENDPOINT_VARIABLE}, separated by commas)`,
+      (text: string, previous: string[] | undefined) => [
+        ...(previous ?? []),
+        parseEndpoint(text),
+      ],
+    )
+    .option(
+      '--token-file <file>',
+      `file with the bearer token (or ${TOKEN_VARIABLE})`,
+    )
+    .option('--json', 'print JSON');
+}
+
+/**
+ * Builds a client for each operator port.
+ *
+ * @param options - Parsed options.
+ * @param environment - Source of the environment variables.
+ * @returns At least one client.
+ * @throws UsageError when the ports or the token are missing.
+ */
+export function createClients(
+  options: ConnectionOptions,
+  environment: CliEnvironment,
+): OperatorClient[] {
+  const endpoints =
+    options.endpoint ?? endpointsOf(environment.env[ENDPOINT_VARIABLE] ?? '');
+  if (endpoints.length === 0) {
+    throw new UsageError(`give --endpoint or set ${ENDPOINT_VARIABLE}`);
+  }
+  const token = readToken(options, environment);
+  return [...new Set(endpoints)].map(
+    endpoint => new OperatorClient({endpoint, token}),
+  );
+}
+
+function endpointsOf(text: string): string[] {
+  const parts = text.split(',').filter(part => part.trim() !== '');
+  try {
+    return parts.map(parseEndpoint);
+  } catch {
+    throw new UsageError(`${ENDPOINT_VARIABLE} is not a list of host:port`);
+  }
+}
+
+function readToken(
+  options: ConnectionOptions,
+  environment: CliEnvironment,
+): string {
+  let token = environment.env[TOKEN_VARIABLE] ?? '';
+  if (options.tokenFile !== undefined) {
+    try {
+      token = readFileSync(options.tokenFile, 'utf8');
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : 'no cause';
+      throw new UsageError(`cannot read the token file: ${detail}`);
+    }
+  }
+  token = token.trim();
+  if (!/^[\x21-\x7e]+$/.test(token)) {
+    throw new UsageError(
+      `give the token with --token-file or ${TOKEN_VARIABLE}`,
+    );
+  }
+  return token;
+}
+
+/**
+ * Asks the operator ports in turn until one does not fail to answer.
+ *
+ * @param clients - Clients in the order of preference.
+ * @param call - What to ask.
+ * @returns The first answer or refusal, else the last failure.
+ */
+export async function askFirst<T>(
+  clients: readonly OperatorClient[],
+  call: (client: OperatorClient) => Promise<Result<T, WisteriarunError>>,
+): Promise<Result<T, WisteriarunError>> {
+  let last: Result<T, WisteriarunError> | null = null;
+  for (const client of clients) {
+    last = await call(client);
+    if (last.isOk || last.error.kind === 'operator-refused') return last;
+  }
+  if (last === null) throw new UsageError('no operator port');
+  return last;
+}
+
+/** Answers of all operator ports and the exit code that they lead to. */
+export interface Gathered<T> {
+  readonly answers: readonly T[];
+  readonly exitCode: number;
+}
+
+/**
+ * Asks all operator ports at once and reports those that fail.
+ *
+ * @param clients - Clients to ask.
+ * @param call - What to ask.
+ * @param environment - Receives the failures.
+ * @returns The answers in the order of the clients.
+ */
+export async function askAll<T>(
+  clients: readonly OperatorClient[],
+  call: (client: OperatorClient) => Promise<Result<T, WisteriarunError>>,
+  environment: CliEnvironment,
+): Promise<Gathered<T>> {
+  const results = await Promise.all(clients.map(call));
+  const answers: T[] = [];
+  let failureCode: number = EXIT_CODES.ok;
+  for (const result of results) {
+    if (result.isOk) answers.push(result.value);
+    else failureCode = reportFailure(result.error, environment);
+  }
+  const isPartial = failureCode !== EXIT_CODES.ok && answers.length > 0;
+  return {answers, exitCode: isPartial ? EXIT_CODES.partial : failureCode};
+}
+
+/**
+ * Prints a failure.
+ *
+ * @param error - Failure of a call.
+ * @param environment - Receives the line.
+ * @returns The exit code for the failure.
+ */
+export function reportFailure(
+  error: WisteriarunError,
+  environment: CliEnvironment,
+): number {
+  environment.err(`error: ${escapeText(describeError(error))}\n`);
+  return error.kind === 'operator-refused'
+    ? EXIT_CODES.refused
+    : EXIT_CODES.unreachable;
+}
+
+/**
+ * Prints a value as JSON.
+ *
+ * @param value - Value to print.
+ * @param environment - Receives the text.
+ */
+export function printJson(value: unknown, environment: CliEnvironment): void {
+  environment.out(JSON.stringify(value, null, 2) + '\n');
+}
--- /dev/null
+++ b/packages/ctl/src/environment.ts
@@ -0,0 +1,6 @@
+/** What the command line program uses of its process. */
+export interface CliEnvironment {
+  readonly env: Readonly<Record<string, string | undefined>>;
+  readonly out: (text: string) => void;
+  readonly err: (text: string) => void;
+}
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -3,4 +3,6 @@
  *
  * @packageDocumentation
  */
-export {};
+export {runCli} from './cli.js';
+export {EXIT_CODES} from './exit-codes.js';
+export type {CliEnvironment} from './environment.js';
--- /dev/null
+++ b/packages/ctl/src/merge-events.ts
@@ -0,0 +1,74 @@
+/** One time line out of the events of several processes. */
+import type {TimelineEvent} from '@wisteriarun/core';
+
+/** Conditions on events; each one that is given must hold. */
+export interface EventFilter {
+  readonly key?: string;
+  readonly server?: string;
+  /** Earliest wall time. */
+  readonly fromMs?: number;
+  /** Latest wall time. */
+  readonly toMs?: number;
+}
+
+/** Fields of events that name a server. */
+const SERVER_FIELDS = ['server', 'from', 'to'];
+
+function compareWall(left: TimelineEvent, right: TimelineEvent): number {
+  return (
+    left.wallTimeMs - right.wallTimeMs ||
+    (left.process < right.process
+      ? -1
+      : Number(left.process > right.process)) ||
+    left.seq - right.seq
+  );
+}
+
+/**
+ * Tells whether an event meets a filter.
+ *
+ * @param event - Event of any process.
+ * @param filter - Conditions.
+ * @returns True when all conditions hold.
+ */
+export function matchesFilter(
+  event: TimelineEvent,
+  filter: EventFilter,
+): boolean {
+  const {key, server, fromMs = -Infinity, toMs = Infinity} = filter;
+  return (
+    event.wallTimeMs >= fromMs &&
+    event.wallTimeMs <= toMs &&
+    (key === undefined || event.fields.key === key) &&
+    (server === undefined ||
+      SERVER_FIELDS.some(name => event.fields[name] === server))
+  );
+}
+
+/**
+ * Orders events by offset where both have one, else by wall time. Comparing
+ * pairs that way has cycles when clocks differ, so the events with an offset
+ * and those without are each sorted and then merged by wall time.
+ *
+ * @param events - Events of all processes.
+ * @returns The events in order.
+ */
+export function mergeEvents(events: readonly TimelineEvent[]): TimelineEvent[] {
+  const placed = events
+    .filter(event => event.offset !== null)
+    .sort((a, b) => (a.offset ?? 0) - (b.offset ?? 0) || compareWall(a, b));
+  const others = events
+    .filter(event => event.offset === null)
+    .sort(compareWall);
+  const merged: TimelineEvent[] = [];
+  let next = 0;
+  for (const event of placed) {
+    for (; next < others.length; next++) {
+      const other = others[next];
+      if (other === undefined || other.wallTimeMs > event.wallTimeMs) break;
+      merged.push(other);
+    }
+    merged.push(event);
+  }
+  return [...merged, ...others.slice(next)];
+}
