Add fold of the log, bundles, images and routing to core

Cause: every reader of the stream must reach the same owners, terms and bundle from the same records, whatever authors append.

Ruled out: a memory of record ids (each kind's base check already rejects a second copy, provided that a base in the future is rejected too); passing the hash function to the fold (isolate records need it, so the module loads it); dropping the rows of a removed service (its servers may still hold leases when a later version lists it again).

Change: fold, emptyState, toImage, fromImage, route, bundle parsing, checks, signatures and differences; createHasher and shardOf under utils. Shards of a zone that leaves the bundle pass to a remaining zone. A server id keeps its service, zone and address across versions, because an answer from a new address would count as proof that the old process has stopped.

--- /dev/null
+++ b/packages/core/src/core/state/bundle-diff.ts
@@ -0,0 +1,98 @@
+/** Differences between bundle versions. */
+import type {Bundle} from '../../types/bundle.js';
+
+/** Lists of a bundle whose entries are compared by id. */
+export type BundleSection =
+  'zones' | 'services' | 'batches' | 'servers' | 'stopped' | 'signers';
+
+/** One entry that differs between two bundles. */
+export interface BundleChange {
+  readonly section: BundleSection;
+  readonly kind: 'added' | 'removed' | 'changed';
+  readonly id: string;
+  /** Names of the changed properties; empty unless `kind` is `changed`. */
+  readonly fields: readonly string[];
+}
+
+/** All differences between two bundles. */
+export interface BundleDiff {
+  /** 0 when there is no earlier bundle. */
+  readonly fromVersion: number;
+  readonly toVersion: number;
+  readonly changes: readonly BundleChange[];
+}
+
+type Entry = Readonly<Record<string, unknown>>;
+
+const NO_ENTRY: Entry = {};
+
+const SECTIONS: readonly BundleSection[] = [
+  'zones',
+  'services',
+  'batches',
+  'servers',
+  'stopped',
+  'signers',
+];
+
+/**
+ * Compares two bundles.
+ *
+ * @param a - Earlier bundle, or null.
+ * @param b - Later bundle.
+ * @returns Differences in the order of the sections.
+ */
+export function diffBundles(a: Bundle | null, b: Bundle): BundleDiff {
+  return {
+    fromVersion: a?.version ?? 0,
+    toVersion: b.version,
+    changes: SECTIONS.flatMap(section =>
+      diffSection(section, entriesOf(a, section), entriesOf(b, section)),
+    ),
+  };
+}
+
+function entriesOf(
+  bundle: Bundle | null,
+  section: BundleSection,
+): Map<string, Entry> {
+  if (bundle === null) return new Map();
+  switch (section) {
+    case 'zones':
+    case 'stopped':
+      return new Map(bundle[section].map(id => [id, NO_ENTRY]));
+    case 'signers':
+      return new Map(bundle.signers.map(signer => [signer.keyId, signer]));
+    default:
+      return new Map(
+        bundle[section].map((entry): [string, Entry] => [entry.id, entry]),
+      );
+  }
+}
+
+function diffSection(
+  section: BundleSection,
+  before: ReadonlyMap<string, Entry>,
+  after: ReadonlyMap<string, Entry>,
+): BundleChange[] {
+  const changes: BundleChange[] = [];
+  for (const id of before.keys()) {
+    if (!after.has(id))
+      changes.push({section, kind: 'removed', id, fields: []});
+  }
+  for (const [id, entry] of after) {
+    const old = before.get(id);
+    if (old === undefined) {
+      changes.push({section, kind: 'added', id, fields: []});
+      continue;
+    }
+    const fields = changedFields(old, entry);
+    if (fields.length > 0) changes.push({section, kind: 'changed', id, fields});
+  }
+  return changes;
+}
+
+function changedFields(a: Entry, b: Entry): string[] {
+  const names = new Set([...Object.keys(a), ...Object.keys(b)]);
+  return [...names].filter(name => a[name] !== b[name]);
+}
--- /dev/null
+++ b/packages/core/src/core/state/bundle-sign.ts
@@ -0,0 +1,126 @@
+/** Signatures of bundles. */
+import {
+  createPrivateKey,
+  generateKeyPairSync,
+  sign,
+  verify,
+  type KeyObject,
+} from 'node:crypto';
+import {Result} from 'true-myth';
+import {
+  signerSchema,
+  type Bundle,
+  type SignedBundle,
+  type Signer,
+} from '../../types/bundle.js';
+import {ERRORS, type WisteriarunError} from '../../types/errors.js';
+import {isWellFormed} from '../../utils/text.js';
+import {parseBundle, readPublicKey} from './bundle-check.js';
+
+/** A new signer and the private key that belongs to it. */
+export interface GeneratedSigner {
+  readonly signer: Signer;
+  /** PKCS #8 in PEM. */
+  readonly privateKeyPem: string;
+}
+
+/**
+ * Generates an Ed25519 key pair.
+ *
+ * @param keyId - Id under which bundles list the key.
+ * @returns The signer with its private key, or `invalid-setting` when the id
+ * has characters that are not allowed.
+ */
+export function generateSigner(
+  keyId: string,
+): Result<GeneratedSigner, WisteriarunError> {
+  const pair = generateKeyPairSync('ed25519');
+  const publicKey = pair.publicKey
+    .export({format: 'der', type: 'spki'})
+    .toString('base64');
+  const parsed = signerSchema.safeParse({keyId, publicKey});
+  if (!parsed.success) {
+    const allowed = 'lower-case letters, digits, dots, hyphens';
+    return Result.err(ERRORS.invalidSetting('signer', 'keyId', keyId, allowed));
+  }
+  const privateKeyPem = pair.privateKey
+    .export({format: 'pem', type: 'pkcs8'})
+    .toString();
+  return Result.ok({signer: parsed.data, privateKeyPem});
+}
+
+/**
+ * Signs the exact text of a bundle.
+ *
+ * @param text - JSON text of the bundle.
+ * @param keyId - Id of the signer.
+ * @param privateKeyPem - Ed25519 private key, PKCS #8 in PEM.
+ * @returns The signed bundle, or `malformed-bundle` or `invalid-setting`.
+ */
+export function signBundle(
+  text: string,
+  keyId: string,
+  privateKeyPem: string,
+): Result<SignedBundle, WisteriarunError> {
+  if (!isWellFormed(text)) return Result.err(notUtf8());
+  return parseBundle(text).andThen(() => {
+    const key = readPrivateKey(privateKeyPem);
+    if (key === null) {
+      const allowed = 'Ed25519 private key in PEM';
+      return Result.err(
+        ERRORS.invalidSetting('signer', keyId, 'unreadable', allowed),
+      );
+    }
+    const signature = sign(null, Buffer.from(text, 'utf8'), key);
+    return Result.ok({
+      payload: text,
+      keyId,
+      signature: signature.toString('base64'),
+    });
+  });
+}
+
+/**
+ * Verifies the signature of a bundle and parses its payload.
+ *
+ * @param signed - Bundle as it stands on the log.
+ * @param signers - Signers that may have signed it.
+ * @returns The bundle, or `unknown-signer`, `wrong-signature` or
+ * `malformed-bundle`. Consistency is checked by `checkBundle`.
+ */
+export function verifySignedBundle(
+  signed: SignedBundle,
+  signers: readonly Signer[],
+): Result<Bundle, WisteriarunError> {
+  const {payload, keyId, signature} = signed;
+  const signer = signers.find(candidate => candidate.keyId === keyId);
+  if (signer === undefined) return Result.err(ERRORS.unknownSigner(keyId));
+  if (!isWellFormed(payload)) return Result.err(notUtf8());
+  const key = readPublicKey(signer.publicKey);
+  if (key === null || !isSignature(payload, key, signature)) {
+    return Result.err(ERRORS.wrongSignature(keyId));
+  }
+  return parseBundle(payload);
+}
+
+function notUtf8(): WisteriarunError {
+  return ERRORS.malformedBundle('', 'not encodable as UTF-8');
+}
+
+function isSignature(
+  payload: string,
+  key: KeyObject,
+  signature: string,
+): boolean {
+  const bytes = Buffer.from(signature, 'base64');
+  return verify(null, Buffer.from(payload, 'utf8'), key, bytes);
+}
+
+function readPrivateKey(pem: string): KeyObject | null {
+  try {
+    const key = createPrivateKey(pem);
+    return key.asymmetricKeyType === 'ed25519' ? key : null;
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/core/src/core/state/fold-bundle.ts
@@ -0,0 +1,134 @@
+/** Acceptance of `bundle` records. */
+import {Result} from 'true-myth';
+import type {Bundle, Service, Signer} from '../../types/bundle.js';
+import {ERRORS, type WisteriarunError} from '../../types/errors.js';
+import type {BundleRecord, ShardRow} from '../../types/records.js';
+import type {RouterState, ServiceState} from '../../types/state.js';
+import {checkBundle} from './bundle-check.js';
+import {homeZones, indexOf} from './bundle-index.js';
+import {verifySignedBundle} from './bundle-sign.js';
+import type {Step} from './fold-step.js';
+
+/**
+ * Applies a `bundle` record.
+ *
+ * @param state - State, already at the record's offset.
+ * @param record - Parsed record.
+ * @param trust - Root signers, for the first bundle.
+ * @returns The new state, or `stale-version`, `unknown-signer`,
+ * `wrong-signature`, `malformed-bundle` or `shard-count-changed`.
+ */
+export function foldBundle(
+  state: RouterState,
+  record: BundleRecord,
+  trust: readonly Signer[],
+): Step {
+  const {bundle: inForce, offset} = state;
+  const version = inForce?.body.version ?? 0;
+  if (record.baseVersion !== version) {
+    return Result.err(
+      ERRORS.staleVersion(version, inForce?.author ?? '', inForce?.offset ?? 0),
+    );
+  }
+  const {author, signed} = record;
+  const signers = inForce?.body.signers ?? trust;
+  return verifySignedBundle(signed, signers)
+    .andThen(body => checkBundle(body, inForce?.body ?? null))
+    .andThen(body =>
+      nextServices(state, body).map(services => ({
+        ...state,
+        bundle: {offset, author, signed, body},
+        services,
+      })),
+    );
+}
+
+type Services = Result<Map<string, ServiceState>, WisteriarunError>;
+
+function nextServices(state: RouterState, body: Bundle): Services {
+  const services = new Map(state.services);
+  for (const service of body.services) {
+    const before = state.services.get(service.id);
+    const next =
+      before === undefined
+        ? firstRows(body, service, state.offset)
+        : keepRows(state, body, service, before);
+    if (next.isErr) return Result.err(next.error);
+    services.set(service.id, next.value);
+  }
+  return retireServices(state, body, services);
+}
+
+function firstRows(
+  body: Bundle,
+  {id, shards}: Service,
+  epoch: number,
+): Result<ServiceState, WisteriarunError> {
+  const rows: ShardRow[] = homeZones(body, id).map(zone => ({
+    server: null,
+    zone,
+    epoch,
+  }));
+  return Result.ok({
+    rows: Array.from({length: shards}, (_, shard) => home(rows, shard)),
+    isolated: new Map(),
+  });
+}
+
+function keepRows(
+  state: RouterState,
+  body: Bundle,
+  service: Service,
+  before: ServiceState,
+): Result<ServiceState, WisteriarunError> {
+  const previous = state.bundle && indexOf(state.bundle.body);
+  const {zones} = indexOf(body);
+  const returns = !previous?.services.has(service.id);
+  if (returns && before.rows.length !== service.shards) {
+    const {id, shards} = service;
+    return Result.err(ERRORS.shardCountChanged(id, before.rows.length, shards));
+  }
+  const zoneRemoved = [...(previous?.zones ?? [])].some(z => !zones.has(z));
+  if (!returns && !zoneRemoved) return Result.ok(before);
+  return Result.ok(moveToZones(body, service.id, before));
+}
+
+// A zone that has left the bundle gets no assigner, so its shards pass to the
+// authority of a remaining zone. Owner and epoch stay.
+function moveToZones(
+  body: Bundle,
+  id: string,
+  before: ServiceState,
+): ServiceState {
+  const {zones} = indexOf(body);
+  const homes = homeZones(body, id);
+  const rows = before.rows.map((row, shard) =>
+    zones.has(row.zone) ? row : {...row, zone: home(homes, shard)},
+  );
+  return {...before, rows};
+}
+
+// The rows of a removed service stay, because its servers may still hold
+// leases when a later version lists the service again. Only hash shards are
+// kept, so that their number is that of the rows.
+function retireServices(
+  state: RouterState,
+  body: Bundle,
+  services: Map<string, ServiceState>,
+): Services {
+  const {services: kept} = indexOf(body);
+  for (const {id, shards} of state.bundle?.body.services ?? []) {
+    const service = services.get(id);
+    if (kept.has(id) || service === undefined) continue;
+    if (service.isolated.size > 0) {
+      const detail = `${id} is removed while keys of it are isolated`;
+      return Result.err(ERRORS.malformedBundle('services', detail));
+    }
+    services.set(id, {...service, rows: service.rows.slice(0, shards)});
+  }
+  return Result.ok(services);
+}
+
+function home<T>(homes: readonly T[], shard: number): T {
+  return homes[shard % homes.length] as T;
+}
--- /dev/null
+++ b/packages/core/src/core/state/fold-term.ts
@@ -0,0 +1,31 @@
+/** Acceptance of `term` records. */
+import {Result} from 'true-myth';
+import {ERRORS} from '../../types/errors.js';
+import type {TermRecord} from '../../types/records.js';
+import type {RouterState} from '../../types/state.js';
+import {indexOf} from './bundle-index.js';
+import type {Step} from './fold-step.js';
+
+/**
+ * Applies a `term` record.
+ *
+ * @param state - State, already at the record's offset.
+ * @param record - Parsed record.
+ * @returns The new state, or `malformed-record` or `stale-term`.
+ */
+export function foldTerm(state: RouterState, record: TermRecord): Step {
+  const {author, zone, authorZone, baseTerm} = record;
+  const zones = state.bundle && indexOf(state.bundle.body).zones;
+  for (const name of [zone, authorZone]) {
+    if (!zones?.has(name)) {
+      return Result.err(ERRORS.malformedRecord(`unknown zone ${name}`));
+    }
+  }
+  const current = state.terms.get(zone);
+  const term = current?.term ?? 0;
+  if (baseTerm !== term) {
+    return Result.err(ERRORS.staleTerm(zone, current?.holder ?? null, term));
+  }
+  const next = {holder: author, holderZone: authorZone, term: state.offset};
+  return Result.ok({...state, terms: new Map(state.terms).set(zone, next)});
+}
--- /dev/null
+++ b/packages/core/src/core/state/fold.ts
@@ -0,0 +1,163 @@
+/** Fold of the log into the agreed state. */
+import type {Signer} from '../../types/bundle.js';
+import {ERRORS, type WisteriarunError} from '../../types/errors.js';
+import {
+  recordSchema,
+  snapshotRecordSchema,
+  type LogRecord,
+  type SnapshotRecord,
+  type StoredRecord,
+} from '../../types/records.js';
+import type {RouterState} from '../../types/state.js';
+import {firstIssue} from './bundle-check.js';
+import {foldAssign} from './fold-assign.js';
+import {foldBundle} from './fold-bundle.js';
+import {foldIsolate, foldMerge} from './fold-isolate.js';
+import type {Step} from './fold-step.js';
+import {foldTerm} from './fold-term.js';
+
+/** Header of a snapshot; the fold doesn't read the image. */
+export type SnapshotHeader = Omit<SnapshotRecord, 'image'>;
+
+/** A record that changes the agreed state. */
+export type ChangeRecord = Exclude<LogRecord, SnapshotRecord>;
+
+/** What the fold decided about one record. */
+export type Verdict =
+  | {readonly kind: 'accepted'; readonly record: ChangeRecord}
+  | {
+      readonly kind: 'rejected';
+      readonly error: WisteriarunError;
+      /** Null when the record could not be parsed. */
+      readonly record: ChangeRecord | null;
+    }
+  | {readonly kind: 'unchanged'; readonly record: SnapshotHeader};
+
+/** State after a record, and the decision about the record. */
+export interface FoldResult {
+  readonly state: RouterState;
+  readonly verdict: Verdict;
+}
+
+const EMPTY: RouterState = {
+  offset: 0,
+  bundle: null,
+  terms: new Map(),
+  services: new Map(),
+};
+
+// A snapshot's image can have 65,536 rows, and the fold needs none of them.
+const snapshotHeaderSchema = snapshotRecordSchema.omit({image: true}).loose();
+
+/**
+ * Gives the state before the first record of a stream.
+ *
+ * @returns State at offset 0.
+ */
+export function emptyState(): RouterState {
+  return EMPTY;
+}
+
+/**
+ * Applies one record. Equal states and records give equal results at every
+ * reader. It never throws.
+ *
+ * @param state - State before the record.
+ * @param stored - Record with its offset. A record at or before the state's
+ * offset is rejected and leaves the state as it is.
+ * @param trust - Root signers, who may sign the first bundle only.
+ * @returns The new state, at the record's offset, and the verdict.
+ */
+export function fold(
+  state: RouterState,
+  stored: StoredRecord,
+  trust: readonly Signer[],
+): FoldResult {
+  let next = state;
+  try {
+    const {offset, record} = stored;
+    if (!Number.isSafeInteger(offset)) {
+      return reject(state, ERRORS.malformedRecord('offset is no integer'));
+    }
+    if (offset <= state.offset) {
+      const detail = `offset ${offset} is folded already`;
+      return reject(state, ERRORS.staleBase(detail, state.offset));
+    }
+    next = {...state, offset};
+    return foldValue(next, record, trust);
+  } catch {
+    // Only a value that no JSON text gives gets here, such as an object whose
+    // properties throw when read.
+    return reject(next, ERRORS.malformedRecord('unreadable'));
+  }
+}
+
+function foldValue(
+  state: RouterState,
+  value: unknown,
+  trust: readonly Signer[],
+): FoldResult {
+  if (isSnapshot(value)) return foldSnapshot(state, value);
+  const parsed = recordSchema.safeParse(value);
+  if (!parsed.success) {
+    const {path, detail} = firstIssue(parsed.error);
+    return reject(state, ERRORS.malformedRecord(`${path}: ${detail}`));
+  }
+  const record = parsed.data as ChangeRecord;
+  const step = foldRecord(state, record, trust);
+  return step.isOk
+    ? {state: step.value, verdict: {kind: 'accepted', record}}
+    : reject(state, step.error, record);
+}
+
+function foldRecord(
+  state: RouterState,
+  record: ChangeRecord,
+  trust: readonly Signer[],
+): Step {
+  switch (record.kind) {
+    case 'bundle':
+      return foldBundle(state, record, trust);
+    case 'term':
+      return foldTerm(state, record);
+    case 'assign':
+      return foldAssign(state, record);
+    case 'isolate':
+      return foldIsolate(state, record);
+    case 'merge':
+      return foldMerge(state, record);
+  }
+}
+
+function isSnapshot(value: unknown): boolean {
+  return (
+    typeof value === 'object' &&
+    value !== null &&
+    'kind' in value &&
+    value.kind === 'snapshot'
+  );
+}
+
+function foldSnapshot(state: RouterState, value: unknown): FoldResult {
+  const parsed = snapshotHeaderSchema.safeParse(value);
+  if (!parsed.success) {
+    const {path, detail} = firstIssue(parsed.error);
+    return reject(state, ERRORS.malformedRecord(`${path}: ${detail}`));
+  }
+  const {kind, id, author, upTo, image} = parsed.data;
+  if (typeof image !== 'object' || image === null || upTo >= state.offset) {
+    return reject(state, ERRORS.malformedRecord('not a snapshot of the past'));
+  }
+  return {
+    state,
+    verdict: {kind: 'unchanged', record: {kind, id, author, upTo}},
+  };
+}
+
+function reject(
+  state: RouterState,
+  error: WisteriarunError,
+  record: ChangeRecord | null = null,
+): FoldResult {
+  return {state, verdict: {kind: 'rejected', error, record}};
+}
--- /dev/null
+++ b/packages/core/src/core/state/image.ts
@@ -0,0 +1,130 @@
+/** Conversion between the folded state and its image. */
+import {Result} from 'true-myth';
+import type {Signer} from '../../types/bundle.js';
+import {ERRORS, type WisteriarunError} from '../../types/errors.js';
+import {stateImageSchema, type StateImage} from '../../types/records.js';
+import type {
+  BundleInForce,
+  RouterState,
+  ServiceState,
+} from '../../types/state.js';
+import {checkConsistency, firstIssue, parseBundle} from './bundle-check.js';
+import {verifySignedBundle} from './bundle-sign.js';
+import {MAX_ISOLATED_KEYS} from './fold-isolate.js';
+
+/**
+ * Gives the form of a state that snapshots and peers carry.
+ *
+ * @param state - Folded state.
+ * @returns A plain record; rows are shared with the state.
+ */
+export function toImage(state: RouterState): StateImage {
+  const {offset, bundle} = state;
+  return {
+    offset,
+    bundle: bundle && {
+      offset: bundle.offset,
+      author: bundle.author,
+      signed: bundle.signed,
+    },
+    terms: Object.fromEntries(state.terms),
+    services: Object.fromEntries(
+      [...state.services].map(([id, {rows, isolated}]) => [
+        id,
+        {rows: [...rows], isolated: Object.fromEntries(isolated)},
+      ]),
+    ),
+  };
+}
+
+/**
+ * Restores a state from an image and checks that it is consistent.
+ *
+ * The signer of a later bundle is listed in the version before it, which the
+ * image doesn't contain, so only a first bundle's signature is verified. The
+ * log and the peer links vouch for the rest.
+ *
+ * @param image - Image from a snapshot or a peer.
+ * @param trust - Root signers.
+ * @returns The state, or `malformed-record`, `malformed-bundle`,
+ * `unknown-signer` or `wrong-signature`.
+ */
+export function fromImage(
+  image: unknown,
+  trust: readonly Signer[],
+): Result<RouterState, WisteriarunError> {
+  const parsed = stateImageSchema.safeParse(image);
+  if (!parsed.success) {
+    const {path, detail} = firstIssue(parsed.error);
+    return Result.err(ERRORS.malformedRecord(`${path}: ${detail}`));
+  }
+  const {data} = parsed;
+  return restoreBundle(data, trust).andThen(bundle => {
+    const state: RouterState = {
+      offset: data.offset,
+      bundle,
+      terms: new Map(Object.entries(data.terms)),
+      services: new Map(
+        Object.entries(data.services).map(([id, {rows, isolated}]) => [
+          id,
+          {rows, isolated: new Map(Object.entries(isolated))},
+        ]),
+      ),
+    };
+    const fault = findFault(state);
+    return fault === null
+      ? Result.ok<RouterState, WisteriarunError>(state)
+      : Result.err(ERRORS.malformedRecord(fault));
+  });
+}
+
+function restoreBundle(
+  {bundle}: StateImage,
+  trust: readonly Signer[],
+): Result<BundleInForce | null, WisteriarunError> {
+  if (bundle === null) return Result.ok(null);
+  return parseBundle(bundle.signed.payload)
+    .andThen(body => {
+      const fault = checkConsistency(body);
+      if (fault !== null) return Result.err(fault);
+      return body.version === 1
+        ? verifySignedBundle(bundle.signed, trust)
+        : Result.ok(body);
+    })
+    .map(body => ({...bundle, body}));
+}
+
+function findFault(state: RouterState): string | null {
+  const {offset, bundle, terms, services} = state;
+  if (bundle === null) {
+    return terms.size + services.size > 0 ? 'state without a bundle' : null;
+  }
+  if (bundle.offset > offset) return 'bundle after the image';
+  for (const [zone, {term}] of terms) {
+    if (term > offset) return `term of ${zone} after the image`;
+  }
+  for (const {id, shards} of bundle.body.services) {
+    const service = services.get(id);
+    if (service === undefined) return `service ${id} is missing`;
+    const fault = findServiceFault(service, shards);
+    if (fault !== null) return `service ${id}: ${fault}`;
+  }
+  for (const [id, {rows}] of services) {
+    if (rows.some(row => row.epoch > offset)) return `epoch of ${id}`;
+  }
+  return null;
+}
+
+function findServiceFault(
+  {rows, isolated}: ServiceState,
+  shards: number,
+): string | null {
+  if (rows.length < shards || rows.length > shards + MAX_ISOLATED_KEYS) {
+    return 'number of rows';
+  }
+  const numbers = [...isolated.values()];
+  if (new Set(numbers).size < numbers.length)
+    return 'isolated shard used twice';
+  const outside = numbers.some(n => n < shards || n >= rows.length);
+  return outside ? 'isolated shard number' : null;
+}
--- a/packages/core/src/core/state/index.ts
+++ b/packages/core/src/core/state/index.ts
@@ -1,2 +1,25 @@
 /** Fold of the log, bundles, snapshots and routing. */
-export {};
+export {checkBundle, parseBundle} from './bundle-check.js';
+export {
+  diffBundles,
+  type BundleChange,
+  type BundleDiff,
+  type BundleSection,
+} from './bundle-diff.js';
+export {
+  generateSigner,
+  signBundle,
+  verifySignedBundle,
+  type GeneratedSigner,
+} from './bundle-sign.js';
+export {MAX_ISOLATED_KEYS} from './fold-isolate.js';
+export {
+  emptyState,
+  fold,
+  type ChangeRecord,
+  type FoldResult,
+  type SnapshotHeader,
+  type Verdict,
+} from './fold.js';
+export {fromImage, toImage} from './image.js';
+export {route} from './route.js';
--- /dev/null
+++ b/packages/core/src/core/state/route.ts
@@ -0,0 +1,30 @@
+/** Lookup of a key's owner. */
+import type {Route, RouterState} from '../../types/state.js';
+import {shardOf, type Hasher} from '../../utils/hasher.js';
+import {findService} from './fold-step.js';
+
+/**
+ * Finds where a key's requests go.
+ *
+ * @param state - Folded state.
+ * @param hasher - Loaded hash function.
+ * @param service - Id of the service.
+ * @param key - Key within the service.
+ * @returns The route, or null when the bundle in force has no such service.
+ */
+export function route(
+  state: RouterState,
+  hasher: Hasher,
+  service: string,
+  key: string,
+): Route | null {
+  const found = findService(state, service);
+  if (found === null) return null;
+  const shard =
+    found.state.isolated.get(key) ??
+    shardOf(hasher, service, key, found.shards);
+  const row = found.state.rows[shard];
+  if (row === undefined) return null;
+  const {epoch, zone, server} = row;
+  return {service, shard, epoch, zone, server};
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,4 @@
 export * from './core/request/index.js';
 export * from './core/state/index.js';
 export * from './types/index.js';
+export * from './utils/index.js';
--- /dev/null
+++ b/packages/core/src/utils/index.ts
@@ -0,0 +1,2 @@
+/** Helpers without knowledge of the domain. */
+export * from './hasher.js';
--- /dev/null
+++ b/packages/core/test/state/bundle.test.ts
@@ -0,0 +1,154 @@
+import {describe, expect, it} from 'vitest';
+import {
+  checkBundle,
+  diffBundles,
+  fromImage,
+  generateSigner,
+  parseBundle,
+  signBundle,
+  toImage,
+  verifySignedBundle,
+} from '@wisteriarun/core';
+import {
+  bundleRecord,
+  draft,
+  foldOne,
+  keyRecord,
+  root,
+  server,
+  signDraft,
+  startedState,
+  stranger,
+  trust,
+} from './fixtures.js';
+
+const parse = (body: unknown) =>
+  parseBundle(JSON.stringify(body)).unwrapOrElse(error => {
+    throw new Error(JSON.stringify(error));
+  });
+
+const errorKind = (result: {isErr: boolean; error?: {kind: string}}) =>
+  result.isErr ? result.error?.kind : 'ok';
+
+describe('bundles', () => {
+  it('reports text that is not JSON as malformed', () => {
+    expect(errorKind(parseBundle('{') as never)).toBe('malformed-bundle');
+  });
+
+  it('fills in defaults that operators leave out', () => {
+    const {services, servers} = parse(draft());
+    expect(services[0]!.adoption).toBe('hold');
+    expect(servers[0]!.checksGrants).toBe(true);
+  });
+
+  it('checks a bundle before it is signed against the version in force', () => {
+    const first = parse(draft());
+    expect(checkBundle(first, null).isOk).toBe(true);
+    expect(checkBundle(parse(draft(2)), first).isOk).toBe(true);
+    expect(checkBundle(first, first).isErr).toBe(true);
+  });
+
+  it('verifies exactly the signed text', () => {
+    const signed = signDraft(draft());
+    expect(verifySignedBundle(signed, trust).isOk).toBe(true);
+    for (const broken of [
+      {...signed, payload: signed.payload + ' '},
+      {...signed, signature: ''},
+      {...signed, signature: signDraft(draft(2)).signature},
+    ]) {
+      const result = verifySignedBundle(broken, trust);
+      expect(errorKind(result as never)).toBe('wrong-signature');
+    }
+    const other = verifySignedBundle(signed, [stranger.signer]);
+    expect(errorKind(other as never)).toBe('unknown-signer');
+  });
+
+  it('refuses to sign malformed text or with an unusable key', () => {
+    const text = JSON.stringify(draft());
+    const {privateKeyPem} = root;
+    const bad = signBundle('{}', 'root', privateKeyPem);
+    expect(errorKind(bad as never)).toBe('malformed-bundle');
+    const noKey = signBundle(text, 'root', 'no key');
+    expect(errorKind(noKey as never)).toBe('invalid-setting');
+    const noId = generateSigner('No Id');
+    expect(errorKind(noId as never)).toBe('invalid-setting');
+  });
+
+  it('lists what a new version changes', () => {
+    const next = draft(2);
+    next.batches[1] = {id: 'b2', state: 'leaving', leaveAtMs: 5};
+    next.servers[0] = server('s9', 'za', 'b1', 9);
+    expect(diffBundles(parse(draft()), parse(next))).toEqual({
+      fromVersion: 1,
+      toVersion: 2,
+      changes: [
+        {
+          section: 'batches',
+          kind: 'changed',
+          id: 'b2',
+          fields: ['state', 'leaveAtMs'],
+        },
+        {section: 'servers', kind: 'removed', id: 's1', fields: []},
+        {section: 'servers', kind: 'added', id: 's9', fields: []},
+      ],
+    });
+    expect(diffBundles(null, parse(draft())).changes).toHaveLength(9);
+  });
+});
+
+describe('images', () => {
+  const isolated = foldOne(startedState(), keyRecord('isolate', '1', 3)).state;
+  const state = foldOne(isolated, bundleRecord(draft(2), 1)).state;
+  const copy = (change: object) =>
+    JSON.parse(JSON.stringify({...toImage(state), ...change}));
+
+  it('restores an equal state from JSON', () => {
+    expect(fromImage(copy({}), trust).unwrapOr(null)).toEqual(state);
+  });
+
+  it('rejects a first bundle that no root signer signed', () => {
+    const image = toImage(startedState());
+    const signed = signDraft(draft(), stranger);
+    const forged = {...image, bundle: {...image.bundle, signed}};
+    expect(errorKind(fromImage(forged, trust) as never)).toBe('unknown-signer');
+  });
+
+  const {services, terms} = toImage(state);
+  const kv = services['kv']!;
+  const za = terms['za']!;
+  it.each([
+    ['no image', null],
+    ['offset before the bundle', copy({offset: 2})],
+    ['term after the offset', copy({terms: {za: {...za, term: 9}}})],
+    ['no services', copy({services: {}})],
+    ['too few rows', copy({services: {kv: {...kv, rows: []}}})],
+    [
+      'row without an epoch',
+      copy({services: {kv: {...kv, rows: [{server: null, zone: 'za'}]}}}),
+    ],
+    [
+      'epoch after the offset',
+      copy({
+        services: {
+          kv: {...kv, rows: kv.rows.map(row => ({...row, epoch: 99}))},
+        },
+      }),
+    ],
+    [
+      'isolated shard among the hash shards',
+      copy({services: {kv: {...kv, isolated: {1: 3}}}}),
+    ],
+    [
+      'isolated shard without a row',
+      copy({services: {kv: {...kv, isolated: {1: 5}}}}),
+    ],
+    [
+      'isolated shard of two keys',
+      copy({services: {kv: {...kv, isolated: {1: 4, 2: 4}}}}),
+    ],
+    ['state without a bundle', copy({bundle: null})],
+  ])('rejects an image with a fault: %s', (_, image) => {
+    const result = fromImage(image, trust);
+    expect(errorKind(result as never)).toBe('malformed-record');
+  });
+});
--- /dev/null
+++ b/packages/core/test/state/fold.test.ts
@@ -0,0 +1,616 @@
+import {describe, expect, it} from 'vitest';
+import {
+  MAX_ISOLATED_KEYS,
+  createHasher,
+  emptyState,
+  fold,
+  route,
+  shardOf,
+  type RouterState,
+} from '@wisteriarun/core';
+import {
+  assignRecord,
+  at,
+  bundleRecord,
+  draft,
+  foldAll,
+  foldOne,
+  keyRecord,
+  outcome,
+  server,
+  signDraft,
+  startedState,
+  stranger,
+  termRecord,
+  trust,
+  type Draft,
+} from './fixtures.js';
+
+const hasher = await createHasher();
+
+/** A key whose hash shard is the given one. */
+function keyIn(shard: number): string {
+  for (let n = 0; ; n += 1) {
+    if (shardOf(hasher, 'kv', `key-${n}`, 4) === shard) return `key-${n}`;
+  }
+}
+
+function accept(state: RouterState, ...records: unknown[]): RouterState {
+  for (const record of records) {
+    const result = foldOne(state, record);
+    expect(outcome(result)).toBe('accepted');
+    state = result.state;
+  }
+  return state;
+}
+
+function expectRejected(state: RouterState, record: unknown, error: object) {
+  const {state: next, verdict} = foldOne(state, record);
+  expect(verdict).toMatchObject({kind: 'rejected', error});
+  expect(next).toEqual({...state, offset: state.offset + 1});
+}
+
+const started = startedState();
+const [k0, k1] = [keyIn(0), keyIn(1)];
+
+describe('hash of keys', () => {
+  it('keeps the published xxhash64 values, so that no key changes its shard', () => {
+    expect(hasher.hash64('')).toBe(0xef46db3751d8e999n);
+    expect(hasher.hash64('abc')).toBe(0x44bc2cf5ad770999n);
+    expect(shardOf(hasher, 'kv', 'abc', 1)).toBe(0);
+  });
+});
+
+describe('values that are no records', () => {
+  const getter = Object.defineProperty({}, 'kind', {
+    enumerable: true,
+    get() {
+      throw new Error('unreadable');
+    },
+  });
+  it.each([
+    ['nothing', undefined],
+    ['null', null],
+    ['text', 'bundle'],
+    ['unknown kind', {kind: 'other', id: 'x', author: 'y'}],
+    ['extra property', {...termRecord('za', 'vm-a', 2), extra: 1}],
+    ['fractional base', {...termRecord('za', 'vm-a'), baseTerm: 0.5}],
+    ['no changes', assignRecord(3, [])],
+    ['throwing property', getter],
+    ['snapshot without an image', snapshot({image: null})],
+    ['snapshot of the future', snapshot({upTo: 4})],
+  ])('rejects %s without throwing', (_, record) => {
+    expectRejected(started, record, {kind: 'malformed-record'});
+  });
+
+  it.each([null, {}, {offset: 'x', record: null}, {offset: NaN}])(
+    'keeps the state for the entry %j',
+    entry => {
+      const result = fold(started, entry as never, trust);
+      expect(result.state).toBe(started);
+      expect(outcome(result)).toBe('malformed-record');
+    },
+  );
+
+  it('does not fold an offset again when a reader repeats a batch', () => {
+    const result = fold(started, at(3, termRecord('za', 'vm-c', 2)), trust);
+    expect(result.state).toBe(started);
+    expect(outcome(result)).toBe('stale-base');
+  });
+
+  it('changes nothing for a snapshot', () => {
+    const {state, verdict} = foldOne(started, snapshot({}));
+    expect(verdict).toMatchObject({kind: 'unchanged', record: {upTo: 3}});
+    expect(state).toEqual({...started, offset: 4});
+  });
+});
+
+function snapshot(change: object) {
+  return {
+    kind: 'snapshot',
+    id: 'snap',
+    author: 'vm-a',
+    upTo: 3,
+    image: {},
+    ...change,
+  };
+}
+
+describe('bundle records', () => {
+  it('takes the first bundle only from a root signer', () => {
+    const body = draft();
+    const foreign = bundleRecord(body, 0, stranger);
+    expectRejected(emptyState(), foreign, {
+      kind: 'unknown-signer',
+      keyId: 'stranger',
+    });
+    accept(emptyState(), bundleRecord(body));
+  });
+
+  it('takes later bundles only from signers of the bundle in force', () => {
+    const rotated = {...draft(), signers: [stranger.signer]};
+    const state = accept(emptyState(), bundleRecord(rotated));
+    const next = {...draft(2), signers: [stranger.signer]};
+    expectRejected(state, bundleRecord(next, 1), {kind: 'unknown-signer'});
+    accept(state, bundleRecord(next, 1, stranger));
+  });
+
+  it('rejects a payload that differs from the signed text', () => {
+    const signed = signDraft(draft(2));
+    const payload = signed.payload.replace('"slots":3', '"slots":4');
+    const record = {...bundleRecord(draft(2), 1), signed: {...signed, payload}};
+    expectRejected(started, record, {kind: 'wrong-signature'});
+  });
+
+  it('rejects a lone surrogate, whose bytes equal those of another text', () => {
+    const body = draft(2);
+    body.servers[0]!.host = '\ufffd';
+    const signed = signDraft(body);
+    const payload = signed.payload.replace('\ufffd', '\ud800');
+    const record = {...bundleRecord(draft(2), 1), signed: {...signed, payload}};
+    expectRejected(started, record, {kind: 'malformed-bundle'});
+  });
+
+  it('names the winner of two operators who publish the same version', () => {
+    const state = accept(started, bundleRecord(draft(2), 1));
+    expectRejected(state, bundleRecord(draft(2), 1), {
+      kind: 'stale-version',
+      versionInForce: 2,
+      winnerAuthor: 'operator',
+      winnerOffset: 4,
+    });
+  });
+
+  const faults: [string, (body: Draft) => void, object][] = [
+    ['version skipped', b => void (b.version = 3), {path: 'version'}],
+    ['version reverted', b => void (b.version = 1), {path: 'version'}],
+    ['other deployment', b => void (b.deployment = 'x'), {path: 'deployment'}],
+    ['no zone', b => void (b.zones = []), {path: 'zones'}],
+    ['bad id', b => void (b.zones = ['Za', 'zb']), {path: 'zones.0'}],
+    ['duplicate zone', b => void b.zones.push('za'), {path: 'zones.2'}],
+    [
+      'duplicate service',
+      b => void b.services.push({id: 'kv', shards: 4}),
+      {path: 'services.1'},
+    ],
+    [
+      'duplicate batch',
+      b => void b.batches.push({id: 'b1', state: 'serving'}),
+      {path: 'batches.2'},
+    ],
+    [
+      'duplicate server',
+      b => void b.servers.push(server('s1', 'za', 'b1', 9)),
+      {path: 'servers.3', detail: 'duplicate id s1'},
+    ],
+    [
+      'duplicate address',
+      b => void b.servers.push(server('s9', 'za', 'b1', 1)),
+      {path: 'servers.3', detail: 'duplicate address'},
+    ],
+    ['duplicate stopped', b => void (b.stopped = ['s', 's']), {}],
+    [
+      'duplicate signer',
+      b => void b.signers.push(b.signers[0]!),
+      {path: 'signers.1'},
+    ],
+    [
+      'unusable public key',
+      b => void (b.signers = [{keyId: 'k', publicKey: 'AAAA'}]),
+      {path: 'signers.0.publicKey'},
+    ],
+    [
+      'unknown zone of a server',
+      b => void (b.zones = ['za']),
+      {path: 'servers.2.zone'},
+    ],
+    ['unknown batch', b => void b.batches.pop(), {path: 'servers.1.batch'}],
+    [
+      'unknown service',
+      b => void (b.services[0]!.id = 'kw'),
+      {path: 'servers.0.service'},
+    ],
+    [
+      'leaving batch without a time',
+      b => void (b.batches[0]!.state = 'leaving'),
+      {path: 'batches.0.leaveAtMs'},
+    ],
+    [
+      'server with a new zone',
+      b => void (b.servers[0]!.zone = 'zb'),
+      {path: 'servers.0.zone'},
+    ],
+    [
+      'server with a new address',
+      b => void (b.servers[0]!.port = 99),
+      {path: 'servers.0.port'},
+    ],
+  ];
+  it.each(faults)('rejects a bundle: %s', (_, change, error) => {
+    const body = draft(2);
+    change(body);
+    expectRejected(started, bundleRecord(body, 1), {
+      kind: 'malformed-bundle',
+      ...error,
+    });
+  });
+
+  it('rejects a changed number of shards', () => {
+    const body = draft(2);
+    body.services[0]!.shards = 8;
+    expectRejected(started, bundleRecord(body, 1), {
+      kind: 'shard-count-changed',
+      service: 'kv',
+      from: 4,
+      to: 8,
+    });
+  });
+
+  it('divides the unowned shards among zones with servers of the service', () => {
+    const body = draft();
+    body.zones.push('zc');
+    const rows = startedState(body).services.get('kv')!.rows;
+    expect(rows.map(row => row.zone)).toEqual(['za', 'zb', 'za', 'zb']);
+    expect(rows.every(row => row.server === null && row.epoch === 1)).toBe(
+      true,
+    );
+  });
+
+  it('keeps the row of a shard whose owner was removed', () => {
+    const state = accept(started, assignRecord(3, [[0, 's2']]));
+    const body = draft(2);
+    body.servers.splice(1, 1);
+    const next = accept(state, bundleRecord(body, 1));
+    expect(next.services.get('kv')!.rows).toEqual(
+      state.services.get('kv')!.rows,
+    );
+  });
+
+  it('gives the shards of a removed zone to a zone that has an assigner', () => {
+    const body = {...draft(2), zones: ['za']};
+    body.servers.pop();
+    const next = accept(started, bundleRecord(body, 1));
+    const rows = next.services.get('kv')!.rows;
+    expect(rows.map(row => row.zone)).toEqual(['za', 'za', 'za', 'za']);
+    expect(next.terms.get('zb')).toEqual(started.terms.get('zb'));
+  });
+});
+
+describe('a removed service', () => {
+  const without = (version: number) => {
+    const body = draft(version);
+    body.services[0]!.id = 'kw';
+    body.servers = body.servers.map((s, n) => ({
+      ...s,
+      id: `w${n}`,
+      service: 'kw',
+    }));
+    return body;
+  };
+  const owned = accept(started, assignRecord(3, [[0, 's1']]));
+  const removed = accept(owned, bundleRecord(without(2), 1));
+
+  it('cannot be assigned or routed', () => {
+    expect(route(removed, hasher, 'kv', k0)).toBeNull();
+    expectRejected(removed, assignRecord(5, [[0, 's1']]), {
+      kind: 'unknown-shard',
+    });
+  });
+
+  it('keeps its owners for when it returns, so that none is forgotten', () => {
+    const back = accept(removed, bundleRecord(draft(3), 2));
+    expect(back.services.get('kv')!.rows).toEqual(
+      owned.services.get('kv')!.rows,
+    );
+    const body = draft(3);
+    body.services[0]!.shards = 8;
+    expectRejected(removed, bundleRecord(body, 2), {
+      kind: 'shard-count-changed',
+    });
+  });
+
+  it('cannot be removed while a key is isolated', () => {
+    const isolated = accept(owned, keyRecord('isolate', k0, 4));
+    const record = bundleRecord(without(2), 1);
+    expectRejected(isolated, record, {kind: 'malformed-bundle'});
+    const merged = accept(isolated, keyRecord('merge', k0, 5));
+    const gone = accept(merged, record);
+    expect(gone.services.get('kv')!.rows).toHaveLength(4);
+  });
+});
+
+describe('term records', () => {
+  it('rejects a candidate who has not seen the current term', () => {
+    expectRejected(started, termRecord('za', 'vm-c', 0), {
+      kind: 'stale-term',
+      holder: 'vm-a',
+      term: 2,
+    });
+  });
+
+  it.each(['zx', '__proto__'])('rejects the unknown zone %s', zone => {
+    expectRejected(started, termRecord(zone, 'vm-c'), {
+      kind: 'malformed-record',
+    });
+  });
+
+  it('rejects a term before the first bundle', () => {
+    const [result] = foldAll([termRecord('za', 'vm-a')]);
+    expect(outcome(result!)).toBe('malformed-record');
+  });
+
+  it('takes the offset as the term', () => {
+    const state = accept(started, termRecord('za', 'vm-c', 2));
+    expect(state.terms.get('za')).toEqual({
+      holder: 'vm-c',
+      holderZone: 'za',
+      term: 4,
+    });
+  });
+});
+
+describe('assign records', () => {
+  const leaving = draft(2);
+  leaving.batches[1] = {id: 'b2', state: 'leaving', leaveAtMs: 1};
+  const stopped = {...draft(2), stopped: ['s2']};
+  const two = draft();
+  two.services.push({id: 'other', shards: 1});
+  two.servers.push({...server('o1', 'za', 'b1', 7), service: 'other'});
+  const inLeaving = accept(started, bundleRecord(leaving, 1));
+  const inStopped = accept(started, bundleRecord(stopped, 1));
+  const moved = accept(started, assignRecord(3, [[0, 's1']]));
+
+  it.each<[string, RouterState, unknown, object]>([
+    [
+      'no holder',
+      started,
+      assignRecord(3, [[0, 's1']], {author: 'vm-c'}),
+      {kind: 'stale-term', holder: 'vm-a', term: 2},
+    ],
+    [
+      'an old term',
+      accept(started, termRecord('za', 'vm-a', 2)),
+      assignRecord(4, [[0, 's1']]),
+      {kind: 'stale-term', holder: 'vm-a', term: 4},
+    ],
+    [
+      'a zone without a term',
+      started,
+      assignRecord(3, [[0, 's1']], {zone: 'zx'}),
+      {kind: 'stale-term', holder: null},
+    ],
+    [
+      'a shard of another zone',
+      started,
+      assignRecord(3, [[1, 's1']]),
+      {kind: 'no-authority', zone: 'zb', shard: 1},
+    ],
+    [
+      'an unknown service',
+      started,
+      assignRecord(3, [[0, 's1', 'kw']]),
+      {kind: 'unknown-shard', service: 'kw'},
+    ],
+    [
+      'an unknown shard',
+      started,
+      assignRecord(3, [[4, 's1']]),
+      {kind: 'unknown-shard', shard: 4},
+    ],
+    [
+      'an unknown server',
+      started,
+      assignRecord(3, [[0, 's9']]),
+      {kind: 'server-not-eligible', server: 's9'},
+    ],
+    [
+      'a server of a leaving batch',
+      inLeaving,
+      assignRecord(4, [[0, 's2']]),
+      {kind: 'server-not-eligible', detail: 'batch is leaving'},
+    ],
+    [
+      'a stopped server',
+      inStopped,
+      assignRecord(4, [[0, 's2']]),
+      {kind: 'server-not-eligible', detail: 'stopped'},
+    ],
+    [
+      'a server of another service',
+      startedState(two),
+      assignRecord(3, [[0, 'o1']]),
+      {kind: 'server-not-eligible', detail: 'serves another service'},
+    ],
+    [
+      'a base before the shard',
+      moved,
+      assignRecord(3, [[0, 's2']]),
+      {kind: 'stale-base', currentOffset: 4},
+    ],
+    [
+      'a base before the bundle',
+      inLeaving,
+      assignRecord(3, [[0, 's1']]),
+      {kind: 'stale-base', currentOffset: 4},
+    ],
+    [
+      'a base in the future, which would let a copy pass',
+      started,
+      assignRecord(4, [[0, 's1']]),
+      {kind: 'malformed-record'},
+    ],
+    [
+      'a shard listed twice',
+      started,
+      assignRecord(3, [
+        [0, 's1'],
+        [0, 's2'],
+      ]),
+      {kind: 'malformed-record'},
+    ],
+    [
+      'one bad change among good ones',
+      started,
+      assignRecord(3, [
+        [0, 's1'],
+        [1, 's1'],
+      ]),
+      {kind: 'no-authority'},
+    ],
+  ])('rejects %s', (_, state, record, error) => {
+    expectRejected(state, record, error);
+  });
+
+  it('passes authority with the owner and keeps it for unowned shards', () => {
+    const toB = accept(started, assignRecord(3, [[0, 's3']]));
+    expect(route(toB, hasher, 'kv', k0)).toEqual({
+      service: 'kv',
+      shard: 0,
+      epoch: 4,
+      zone: 'zb',
+      server: 's3',
+    });
+    const b = {zone: 'zb', author: 'vm-b', term: 3};
+    const unowned = accept(toB, assignRecord(4, [[0, null]], b));
+    expect(unowned.services.get('kv')!.rows[0]).toEqual({
+      server: null,
+      zone: 'zb',
+      epoch: 5,
+    });
+  });
+
+  it('leaves earlier states as they were', () => {
+    expect(started.services.get('kv')!.rows[0]!.server).toBeNull();
+    expect(moved.services.get('kv')!.rows[0]!.server).toBe('s1');
+  });
+});
+
+describe('isolate and merge records', () => {
+  const owned = accept(started, assignRecord(3, [[0, 's1']]));
+  const isolated = accept(owned, keyRecord('isolate', k0, 4));
+  const apart = accept(isolated, assignRecord(5, [[4, 's2']]));
+
+  it('gives the key a shard of its own and both shards a new epoch', () => {
+    const {rows} = isolated.services.get('kv')!;
+    expect(rows[4]).toEqual({server: 's1', zone: 'za', epoch: 5});
+    expect(rows[0]).toEqual(rows[4]);
+    expect(route(apart, hasher, 'kv', k0)).toMatchObject({
+      shard: 4,
+      server: 's2',
+    });
+  });
+
+  it('returns the key to its hash shard with new epochs', () => {
+    const merged = accept(isolated, keyRecord('merge', k0, 5));
+    const {rows} = merged.services.get('kv')!;
+    expect(route(merged, hasher, 'kv', k0)).toMatchObject({
+      shard: 0,
+      epoch: 6,
+      server: 's1',
+    });
+    expect(rows[4]).toEqual({server: null, zone: 'za', epoch: 6});
+    expectRejected(merged, assignRecord(6, [[4, 's2']]), {
+      kind: 'unknown-shard',
+    });
+    const again = accept(merged, keyRecord('isolate', k0, 6));
+    expect(again.services.get('kv')!.rows[4]!.epoch).toBe(7);
+  });
+
+  it.each<[string, RouterState, unknown, object]>([
+    [
+      'isolate by another VM',
+      owned,
+      keyRecord('isolate', k0, 4, {author: 'vm-c'}),
+      {kind: 'stale-term'},
+    ],
+    [
+      'isolate of a key of another zone',
+      owned,
+      keyRecord('isolate', k1, 4),
+      {kind: 'no-authority', shard: 1},
+    ],
+    [
+      'isolate on an old base',
+      owned,
+      keyRecord('isolate', k0, 3),
+      {kind: 'stale-base', currentOffset: 4},
+    ],
+    [
+      'isolate of an isolated key',
+      isolated,
+      keyRecord('isolate', k0, 5),
+      {kind: 'stale-base'},
+    ],
+    [
+      'isolate in an unknown service',
+      owned,
+      keyRecord('isolate', k0, 4, {}, 'kw'),
+      {kind: 'unknown-shard'},
+    ],
+    [
+      'isolate of a key that images cannot carry',
+      owned,
+      keyRecord('isolate', '__proto__', 4),
+      {kind: 'malformed-record'},
+    ],
+    [
+      'isolate of a lone surrogate',
+      owned,
+      keyRecord('isolate', '\ud800', 4),
+      {kind: 'malformed-record'},
+    ],
+    [
+      'merge by another VM',
+      isolated,
+      keyRecord('merge', k0, 5, {author: 'vm-c'}),
+      {kind: 'stale-term'},
+    ],
+    [
+      'merge of a key that is not isolated',
+      owned,
+      keyRecord('merge', k0, 4),
+      {kind: 'stale-base'},
+    ],
+    [
+      'merge on an old base',
+      isolated,
+      keyRecord('merge', k0, 4),
+      {kind: 'stale-base', currentOffset: 5},
+    ],
+    [
+      'merge in an unknown service',
+      isolated,
+      keyRecord('merge', k0, 5, {}, 'kw'),
+      {kind: 'unknown-shard'},
+    ],
+    [
+      'merge of shards with two owners',
+      apart,
+      keyRecord('merge', k0, 6),
+      {kind: 'server-not-eligible', server: 's2'},
+    ],
+    [
+      'merge without authority over the hash shard',
+      accept(isolated, assignRecord(5, [[0, 's3']])),
+      keyRecord('merge', k0, 6),
+      {kind: 'no-authority', zone: 'zb'},
+    ],
+  ])('rejects %s', (_, state, record, error) => {
+    expectRejected(state, record, error);
+  });
+
+  it('limits the isolated keys of a service', () => {
+    const one = draft();
+    one.services[0]!.shards = 1;
+    let state = startedState(one);
+    for (let n = 0; n < MAX_ISOLATED_KEYS; n += 1) {
+      state = accept(state, keyRecord('isolate', `hot-${n}`, state.offset));
+    }
+    expectRejected(state, keyRecord('isolate', 'hot', state.offset), {
+      kind: 'too-many-isolated-keys',
+      limit: 256,
+    });
+    const numbers = state.services.get('kv')!.isolated.values();
+    expect(new Set(numbers).size).toBe(MAX_ISOLATED_KEYS);
+  });
+});
