Add boot and sequence to lease calls

The expiry of a lease is a time on the server's own clock. When that clock counts from zero after a restart, a delayed call of the earlier boot would be valid for as long as the server ran before. A delayed call of the same term could also restore a shard that a later call had taken away.

Waiting for the expiry of every earlier call was ruled out, because each planned move would then take 1.2 s more. Lease calls carry the boot whose clock the expiry refers to, and a sequence; both fields are optional in the schema so that callers that do not set them still parse.

--- a/packages/core/src/types/lease.ts
+++ b/packages/core/src/types/lease.ts
@@ -25,6 +25,17 @@
   /** Expiry on the server's own monotonic clock. */
   expiresAtMs: z.number(),
   grants: z.array(grantSchema),
+  /**
+   * Boot whose clock `expiresAtMs` refers to. A server with another `bootId`
+   * refuses the call: after a restart its clock may count from zero, and an
+   * old expiry would be far in the future.
+   */
+  bootId: z.string().optional(),
+  /**
+   * Grows with each lease call of a term to a server. A server refuses a call
+   * of the same term that is not newer, because it could restore grants.
+   */
+  seq: z.int().min(1).optional(),
 });
 export type LeaseRequest = z.infer<typeof leaseRequestSchema>;
 
