Add election, leases, placement and the assigner

The assigner keeps the soft state of one zone and term and yields commands, so that every decision can be tested without I/O. A restarted server has forgotten the newest term; it gets a lease only after a log read that started after the restart was seen.

--- /dev/null
+++ b/packages/core/src/core/ownership/dispatcher-choice.ts
@@ -0,0 +1,35 @@
+/** Chooses the entry VM that dispatches for a server. */
+import {rendezvousScore} from './hash.js';
+
+/** Entry VM of the zone that is live according to its heartbeats. */
+export interface EntryVm {
+  readonly vm: string;
+  /** Weight in the choice, above 0. */
+  readonly capacity: number;
+  readonly draining: boolean;
+}
+
+/**
+ * Chooses by weighted rendezvous hashing, so the loss of a VM moves only the
+ * servers for which it dispatched.
+ *
+ * @param server - Server to dispatch for.
+ * @param entries - Live entry VMs of the zone.
+ * @returns The VM, or null when all are draining or none is live.
+ */
+export function chooseDispatcher(
+  server: string,
+  entries: readonly EntryVm[],
+): string | null {
+  let best: string | null = null;
+  let bestScore = -Infinity;
+  for (const entry of entries) {
+    if (entry.draining || entry.capacity <= 0) continue;
+    const score = rendezvousScore(server, entry.vm, entry.capacity);
+    if (score > bestScore || (score === bestScore && entry.vm < best!)) {
+      best = entry.vm;
+      bestScore = score;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/core/src/core/ownership/election.ts
@@ -0,0 +1,116 @@
+/** Decides when a VM stands for the term of a zone. */
+import type {RouterState, TermRecord} from '../../types/index.js';
+import {
+  ELECTION_STAGGER_MS,
+  PEER_SILENT_MS,
+  ZONE_SILENT_MS,
+} from '../../types/index.js';
+import {rankByRendezvous} from './hash.js';
+
+/** What a VM knows about another entry VM of the deployment. */
+export interface PeerView {
+  readonly vm: string;
+  readonly zone: string;
+  /** Own monotonic time of the last heartbeat. */
+  readonly lastHeardAtMs: number;
+  /** Own monotonic time at which it was first seen draining, else null. */
+  readonly drainingSinceMs: number | null;
+}
+
+/** Inputs of one election decision. */
+export interface ElectionInput {
+  readonly self: {
+    readonly vm: string;
+    readonly zone: string;
+    readonly draining: boolean;
+  };
+  /** Zone whose term is decided about. */
+  readonly zone: string;
+  readonly nowMs: number;
+  /** Other entry VMs of all zones. */
+  readonly peers: readonly PeerView[];
+  readonly state: RouterState;
+  readonly logAvailable: boolean;
+  /** Time since which this VM has listened to peers and followed the log. */
+  readonly observedSinceMs: number;
+  /** Time at which this VM folded the zone's current term. */
+  readonly termSeenAtMs: number;
+  /** Time at which this VM last read a record by a VM of the zone. */
+  readonly lastZoneRecordAtMs: number | null;
+}
+
+/** A term record to which the caller adds an id. */
+export type TermDraft = Omit<TermRecord, 'id'>;
+
+/**
+ * Decides whether this VM appends a term record for a zone now.
+ *
+ * @param input - Views of peers and log, on this VM's monotonic clock.
+ * @returns The record to append, or null.
+ */
+export function decideElection(input: ElectionInput): TermDraft | null {
+  const {self, zone, state} = input;
+  if (self.draining || !input.logAvailable) return null;
+  if (!state.bundle?.body.zones.includes(zone)) return null;
+  if (state.terms.get(zone)?.holder === self.vm) return null;
+  const startMs = self.zone === zone ? ownStart(input) : foreignStart(input);
+  if (startMs === null) return null;
+  if (input.nowMs < startMs + rank(input) * ELECTION_STAGGER_MS) return null;
+  return {
+    kind: 'term',
+    author: self.vm,
+    zone,
+    authorZone: self.zone,
+    baseTerm: state.terms.get(zone)?.term ?? 0,
+  };
+}
+
+/** Position of this VM among the live VMs that may stand. */
+function rank(input: ElectionInput): number {
+  const {self, zone, nowMs} = input;
+  const holder = input.state.terms.get(zone)?.holder;
+  const home = self.zone === zone;
+  const rivals = input.peers
+    .filter(p => (p.zone === zone) === home && p.vm !== holder)
+    .filter(p => p.drainingSinceMs === null)
+    .filter(p => nowMs - p.lastHeardAtMs < PEER_SILENT_MS)
+    .map(p => p.vm);
+  return rankByRendezvous(`term/${zone}`, [self.vm, ...rivals]).indexOf(
+    self.vm,
+  );
+}
+
+function ownStart(input: ElectionInput): number | null {
+  const term = input.state.terms.get(input.zone);
+  if (!term) return input.observedSinceMs;
+  if (term.holderZone !== input.zone) return input.termSeenAtMs;
+  return holderGoneMs(input, term.holder);
+}
+
+function foreignStart(input: ElectionInput): number | null {
+  const heard = input.peers
+    .filter(p => p.zone === input.zone)
+    .map(p => p.lastHeardAtMs);
+  const silentSinceMs = Math.max(
+    input.observedSinceMs,
+    input.lastZoneRecordAtMs ?? -Infinity,
+    ...heard,
+  );
+  const startMs = silentSinceMs + ZONE_SILENT_MS;
+  const term = input.state.terms.get(input.zone);
+  if (!term || term.holderZone === input.zone) return startMs;
+  return Math.max(startMs, holderGoneMs(input, term.holder));
+}
+
+/** Time from which the holder counts as lost; a draining holder at once. */
+function holderGoneMs(input: ElectionInput, holder: string): number {
+  const peer = input.peers.find(p => p.vm === holder);
+  const silentMs =
+    Math.max(
+      input.observedSinceMs,
+      input.termSeenAtMs,
+      peer?.lastHeardAtMs ?? -Infinity,
+    ) + PEER_SILENT_MS;
+  if (peer?.drainingSinceMs === null || peer === undefined) return silentMs;
+  return Math.min(silentMs, peer.drainingSinceMs);
+}
--- /dev/null
+++ b/packages/core/src/core/ownership/move-table.ts
@@ -0,0 +1,107 @@
+/** Moves in flight of one assigner. */
+import {SHARD_REST_MS, shardKey, type Move, type ShardId} from './placement.js';
+
+/**
+ * Stage of a move: the dispatcher drains, the source acknowledges a lease
+ * without the shard, the old owner is proven stopped, the record is appended.
+ */
+export type MoveStage = 'dispatcher' | 'server' | 'ready' | 'append';
+
+/** A move in flight. */
+export interface MoveInFlight extends Move {
+  stage: MoveStage;
+  /** Epoch of the shard when the move was decided. */
+  readonly baseEpoch: number;
+  readonly planned: boolean;
+  /** Dispatcher that was told to drain, and when. */
+  drainTo: string | null;
+  drainSentAtMs: number;
+  /** First lease call without the shard. */
+  minSeq: number;
+}
+
+/** Moves in flight, and when shards were last moved. */
+export class MoveTable {
+  private readonly moves = new Map<string, MoveInFlight>();
+  private readonly movedAtMs = new Map<string, number>();
+
+  /**
+   * Adds a move.
+   *
+   * @param move - Decision.
+   * @param baseEpoch - Present epoch of the shard.
+   * @param stage - First stage.
+   * @returns The stored move.
+   */
+  add(
+    move: Move,
+    baseEpoch: number,
+    stage: 'dispatcher' | 'ready',
+  ): MoveInFlight {
+    const inFlight: MoveInFlight = {
+      ...move,
+      stage,
+      baseEpoch,
+      planned: stage === 'dispatcher',
+      drainTo: null,
+      drainSentAtMs: -Infinity,
+      minSeq: Infinity,
+    };
+    this.moves.set(shardKey(move), inFlight);
+    return inFlight;
+  }
+
+  /**
+   * Finds the move of a shard.
+   *
+   * @param id - Shard.
+   * @returns The move, or undefined.
+   */
+  get(id: ShardId): MoveInFlight | undefined {
+    return this.moves.get(shardKey(id));
+  }
+
+  /**
+   * Lists the moves; the table may be changed meanwhile.
+   *
+   * @returns All moves in flight.
+   */
+  list(): MoveInFlight[] {
+    return [...this.moves.values()];
+  }
+
+  /**
+   * Tells whether a shard is to be left out of its owner's lease.
+   *
+   * @param id - Shard.
+   * @returns True from the stage `server` on.
+   */
+  isWithheld(id: ShardId): boolean {
+    const move = this.get(id);
+    return move !== undefined && move.stage !== 'dispatcher';
+  }
+
+  /**
+   * Removes a move that was folded or given up.
+   *
+   * @param id - Shard.
+   * @param nowMs - Own monotonic time, from which the shard rests.
+   */
+  remove(id: ShardId, nowMs: number): void {
+    this.moves.delete(shardKey(id));
+    this.movedAtMs.set(shardKey(id), nowMs);
+  }
+
+  /**
+   * Tells whether a balance move of a shard may start.
+   *
+   * @param id - Shard.
+   * @param nowMs - Own monotonic time.
+   * @returns False while it moves or rests.
+   */
+  mayMove(id: ShardId, nowMs: number): boolean {
+    if (this.get(id)) return false;
+    const at = this.movedAtMs.get(shardKey(id));
+    return at === undefined || nowMs - at >= SHARD_REST_MS;
+  }
+}
--- /dev/null
+++ b/packages/core/test/ownership/faults.test.ts
@@ -0,0 +1,263 @@
+import {describe, expect, it} from 'vitest';
+import {makeBundle, type BundleOptions} from './fold.js';
+import {Model, Random} from './model.js';
+
+const THREE = [{id: 's1'}, {id: 's2'}, {id: 's3'}];
+const VMS = [
+  {id: 'a', zone: 'z1'},
+  {id: 'b', zone: 'z1'},
+  {id: 'c', zone: 'z1'},
+];
+
+function start(options: Partial<BundleOptions> = {}, vms = VMS): Model {
+  const bundle = makeBundle({servers: THREE, ...options});
+  const model = new Model(bundle, vms, new Random(7));
+  model.run(4_000);
+  expect(model.unserved()).toEqual([]);
+  return model;
+}
+
+/** Runs until every shard is served; returns the time that this took. */
+function runUntilServed(model: Model, limitMs: number): number {
+  const from = model.t;
+  while (model.t - from < limitMs) {
+    model.run(10);
+    if (model.unserved().length === 0) return model.t - from;
+  }
+  return Infinity;
+}
+
+function expectSafe(model: Model): void {
+  expect(model.violations.slice(0, 3)).toEqual([]);
+}
+
+describe('losses of section 3.6', () => {
+  it('moves the shards of a lost server within 3 s, and only those', () => {
+    const model = start();
+    const rows = model.log.latest.services.get('svc')!.rows;
+    model.servers.get('s1')!.state = 'dead';
+    model.run(20);
+    const tookMs = runUntilServed(model, 10_000);
+    expect(tookMs).toBeGreaterThan(1_000);
+    expect(tookMs).toBeLessThan(1_900);
+    const after = model.log.latest.services.get('svc')!.rows;
+    rows.forEach((row, n) => {
+      if (row.server !== 's1') expect(after[n]!.server).toBe(row.server);
+    });
+    expectSafe(model);
+  });
+
+  it('does not let a frozen server that returns serve moved shards', () => {
+    const model = start();
+    model.servers.get('s1')!.state = 'frozen';
+    model.run(5_000);
+    expect(model.owned('s1')).toBe(0);
+    model.servers.get('s1')!.state = 'live';
+    model.run(3_000);
+    expectSafe(model);
+    expect(model.unserved()).toEqual([]);
+  });
+
+  it('gives a restarted server its shards back without a move', () => {
+    const model = start();
+    const before = model.log.latest.offset;
+    model.servers.get('s1')!.restart(model.t);
+    model.run(1_500);
+    expect(model.log.latest.offset).toBe(before);
+    expect(model.unserved()).toEqual([]);
+    expectSafe(model);
+  });
+
+  it('keeps serving while the assigner is paused, and fences it off', () => {
+    const model = start();
+    const old = model.holder();
+    old.paused = true;
+    for (let i = 0; i < 300; i++) {
+      model.run(10);
+      expect(model.unserved()).toEqual([]);
+    }
+    expect(model.holder()).not.toBe(old);
+    model.resume(old);
+    model.run(3_000);
+    expect(old.assigner!.isDeposed).toBe(true);
+    expectSafe(model);
+    expect(model.unserved()).toEqual([]);
+  });
+
+  it('serves but moves nothing while the log is down', () => {
+    const model = start();
+    const offset = model.log.latest.offset;
+    model.logDown = true;
+    for (let i = 0; i < 600; i++) {
+      model.run(10);
+      expect(model.unserved()).toEqual([]);
+    }
+    model.servers.get('s1')!.state = 'frozen';
+    model.run(5_000);
+    expect(model.log.latest.offset).toBe(offset);
+    expect(model.unserved().length).toBe(model.owned('s1'));
+    model.logDown = false;
+    expect(runUntilServed(model, 3_000)).toBeLessThan(1_000);
+    expectSafe(model);
+  });
+
+  it('stops shards with policy lapse 2 s after the log is lost', () => {
+    const model = start({adoption: 'lapse'});
+    model.logDown = true;
+    model.run(600);
+    expect(model.unserved()).toEqual([]);
+    model.run(1_500);
+    expect(model.unserved().length).toBe(8);
+    model.logDown = false;
+    expect(runUntilServed(model, 3_000)).toBeLessThan(500);
+    expectSafe(model);
+  });
+});
+
+describe('assigner and server lost at once', () => {
+  function lose(adoption: 'hold' | 'lapse'): Model {
+    const model = start({adoption});
+    model.holder().paused = true;
+    model.servers.get('s1')!.state = 'frozen';
+    return model;
+  }
+
+  it('waits for proof with policy hold, and moves at proof c', () => {
+    const model = lose('hold');
+    model.run(20_000);
+    const owned = model.owned('s1');
+    expect(owned).toBeGreaterThan(0);
+    model.servers.get('s1')!.state = 'dead';
+    model.removed.add('s1');
+    expect(runUntilServed(model, 3_000)).toBeLessThan(1_000);
+    expectSafe(model);
+  });
+
+  it('moves at proof d, a bundle that lists the server as stopped', () => {
+    const model = lose('hold');
+    model.run(5_000);
+    model.servers.get('s1')!.state = 'dead';
+    const body = makeBundle({servers: THREE, stopped: ['s1']});
+    model.log.append({kind: 'bundle', body});
+    expect(runUntilServed(model, 3_000)).toBeLessThan(1_000);
+    expectSafe(model);
+  });
+
+  it('moves with policy lapse once the former authority has ended', () => {
+    const model = lose('lapse');
+    const tookMs = runUntilServed(model, 10_000);
+    expect(tookMs).toBeGreaterThan(1_900);
+    expect(tookMs).toBeLessThan(4_500);
+    model.servers.get('s1')!.state = 'live';
+    model.run(3_000);
+    expectSafe(model);
+  });
+
+  it('does not move shards that a partitioned assigner still renews', () => {
+    const model = start();
+    const old = model.holder();
+    old.logCut = true;
+    old.peersCut = true;
+    model.servers.get('s1')!.state = 'frozen';
+    model.run(3_000);
+    expect(model.holder()).not.toBe(old);
+    expect(model.owned('s1')).toBeGreaterThan(0);
+    expectSafe(model);
+  });
+});
+
+describe('zones', () => {
+  const zoned = {
+    zones: ['z1', 'z2'],
+    servers: [{id: 's1'}, {id: 's2'}, {id: 't1', zone: 'z2'}],
+    shards: 8,
+  };
+  const vms = [...VMS, {id: 'x', zone: 'z2'}, {id: 'y', zone: 'z2'}];
+
+  function startZones(adoption: 'hold' | 'lapse'): Model {
+    const bundle = makeBundle({...zoned, adoption});
+    const model = new Model(bundle, vms, new Random(3));
+    model.run(4_000);
+    expect(model.owned('s1') + model.owned('s2')).toBe(4);
+    return model;
+  }
+
+  function partition(model: Model, log: boolean): void {
+    for (const vm of model.vms) {
+      if (vm.zone !== 'z1') continue;
+      vm.logCut = log;
+      vm.peersCut = true;
+    }
+  }
+
+  const z1Served = (model: Model) =>
+    model
+      .shards()
+      .filter(s => model.acceptors(s).some(id => id.startsWith('s'))).length;
+
+  it('keeps a zone that is cut off from zones and log serving (hold)', () => {
+    const model = startZones('hold');
+    partition(model, true);
+    for (const vm of model.vms) {
+      if (vm.zone === 'z2') vm.serversCut = true;
+    }
+    model.run(10_000);
+    expect(z1Served(model)).toBe(4);
+    expect(model.log.latest.terms.get('z1')!.holderZone).toBe('z2');
+    partition(model, false);
+    for (const vm of model.vms) vm.peersCut = vm.serversCut = false;
+    model.run(4_000);
+    expect(model.log.latest.terms.get('z1')!.holderZone).toBe('z1');
+    expect(z1Served(model)).toBe(4);
+    expectSafe(model);
+  });
+
+  it('leaves the term in a zone that still writes to the log', () => {
+    const model = startZones('hold');
+    // Its VMs hear nothing of each other, so they keep taking over the term.
+    partition(model, false);
+    model.run(8_000);
+    expect(model.log.latest.terms.get('z1')!.holderZone).toBe('z1');
+    expectSafe(model);
+  });
+
+  it('keeps the shards of a lost zone unowned until proof c (hold)', () => {
+    const model = startZones('hold');
+    for (const vm of model.vms) vm.paused = vm.zone === 'z1';
+    for (const id of ['s1', 's2']) model.servers.get(id)!.state = 'dead';
+    model.run(10_000);
+    expect(model.owned('s1') + model.owned('s2')).toBe(4);
+    model.removed.add('s1').add('s2');
+    model.run(3_000);
+    expect(model.owned('t1')).toBe(4);
+    expectSafe(model);
+  });
+});
+
+describe('leaving batches', () => {
+  it('empties a batch in time and cuts no request', () => {
+    const servers = [{id: 's1', batch: 'b1'}, {id: 's2'}, {id: 's3'}];
+    const model = start({servers, shards: 24});
+    const total = model.owned('s1');
+    const leaveAtMs = model.t + 20_000;
+    const body = makeBundle({servers, shards: 24, leaveAtMs});
+    model.log.append({kind: 'bundle', body});
+    model.run(8_000);
+    expect(model.owned('s1')).toBeLessThan(total);
+    expect(model.owned('s1')).toBeGreaterThan(0);
+    model.run(10_500);
+    expect(model.owned('s1')).toBe(0);
+    expect(model.holder().assigner!.progress[0]!.shardsLeft).toBe(0);
+    expectSafe(model);
+  });
+
+  it('warns early when no server can take the shards', () => {
+    const servers = [{id: 's1', batch: 'b1'}];
+    const model = start({servers});
+    const leaveAtMs = model.t + 20_000;
+    const body = makeBundle({servers, leaveAtMs});
+    model.log.append({kind: 'bundle', body});
+    model.run(10_000);
+    expect(model.holder().events).toContain('leaving-late');
+  });
+});
--- /dev/null
+++ b/packages/core/test/ownership/model.ts
@@ -0,0 +1,513 @@
+/**
+ * Model of VMs, servers, log and network with their own clocks. Servers judge
+ * requests by the rules of the lease protocol, independently of the assigner.
+ */
+import {
+  Assigner,
+  decideElection,
+  shardKey,
+  type AssignerCommand,
+  type Bundle,
+  type LeaseRequest,
+  type RouterState,
+  type ServerStatus,
+} from '@wisteriarun/core';
+import {TestLog} from './fold.js';
+
+const CALL_TIMEOUT_MS = 300;
+const STEP_MS = 25;
+const LOG_READ_MS = 100;
+const HEARTBEAT_MS = 250;
+
+/** Small deterministic generator (linear congruential). */
+export class Random {
+  constructor(private state: number) {}
+  next(): number {
+    this.state = (Math.imul(this.state, 1664525) + 1013904223) >>> 0;
+    return this.state / 2 ** 32;
+  }
+  below(n: number): number {
+    return Math.floor(this.next() * n);
+  }
+}
+
+/** Server that checks grants. */
+export class ModelServer {
+  boot = 1;
+  bootedAt = 0;
+  lease: LeaseRequest | null = null;
+  term = 0;
+  seq = 0;
+  /** Ends of running requests by shard. */
+  running = new Map<string, number>();
+  state: 'live' | 'frozen' | 'dead' = 'live';
+
+  constructor(
+    readonly id: string,
+    private readonly rate: number,
+  ) {}
+
+  /** The clock counts from zero at each boot. */
+  clockMs(t: number): number {
+    return (t - this.bootedAt) * this.rate;
+  }
+
+  restart(t: number): void {
+    this.boot++;
+    this.bootedAt = t;
+    this.lease = null;
+    this.term = 0;
+    this.seq = 0;
+    this.running = new Map();
+    this.state = 'live';
+  }
+
+  /** Whether a request with the granted epoch and fence would be run. */
+  accepts(t: number, shard: string): boolean {
+    return (
+      this.state === 'live' &&
+      this.lease !== null &&
+      this.clockMs(t) < this.lease.expiresAtMs &&
+      this.lease.grants.some(g => shardKey(g) === shard)
+    );
+  }
+
+  /** Returns false when the call is refused. */
+  takeLease(request: LeaseRequest): boolean {
+    if (request.bootId !== this.bootId) return false;
+    if (request.term < this.term) return false;
+    if (request.term === this.term && request.seq! <= this.seq) return false;
+    this.term = request.term;
+    this.seq = request.seq!;
+    this.lease = request;
+    return true;
+  }
+
+  status(t: number): ServerStatus {
+    const busy = [...this.running]
+      .filter(([, endsAt]) => endsAt > t)
+      .map(([key]) => ({service: 'svc', shard: Number(key.split('/')[1])}));
+    return {
+      bootId: this.bootId,
+      clockMs: this.clockMs(t),
+      term: this.term,
+      fence: this.lease?.fence ?? null,
+      dispatcher: this.lease?.dispatcher ?? null,
+      busy,
+      inFlight: busy.length,
+      load: 0,
+      draining: false,
+    };
+  }
+
+  private get bootId(): string {
+    return `${this.id}#${this.boot}`;
+  }
+}
+
+/** Entry VM with a follower, an election and perhaps an assigner. */
+export class ModelVm {
+  offset = 0;
+  assigner: Assigner | null = null;
+  termConfirmedAtMs = -Infinity;
+  termSeenAtMs = 0;
+  lastZoneRecordAtMs: number | null = null;
+  paused = false;
+  draining = false;
+  logCut = false;
+  serversCut = false;
+  peersCut = false;
+  electing = false;
+  readonly heardAtMs = new Map<string, number>();
+  readonly inbox: (() => void)[] = [];
+  readonly events: string[] = [];
+
+  constructor(
+    readonly id: string,
+    readonly zone: string,
+    private readonly rate: number,
+    private readonly skewMs: number,
+  ) {}
+
+  clockMs(t: number): number {
+    return t * this.rate + this.skewMs;
+  }
+}
+
+/** Chances of message faults, from 0 to 1. */
+export interface NetworkFaults {
+  readonly drop: number;
+  readonly duplicate: number;
+  readonly delay: number;
+}
+
+/** The whole deployment on one true time line. */
+export class Model {
+  t = 0;
+  readonly log = new TestLog();
+  readonly servers = new Map<string, ModelServer>();
+  readonly vms: ModelVm[] = [];
+  readonly removed = new Set<string>();
+  readonly violations: string[] = [];
+  logDown = false;
+  private order = 0;
+  private readonly queue: {at: number; order: number; run: () => void}[] = [];
+
+  constructor(
+    bundle: Bundle,
+    vms: readonly {id: string; zone: string}[],
+    readonly random: Random,
+    public faults: NetworkFaults = {drop: 0, duplicate: 0, delay: 0},
+    drift = 0.0049,
+  ) {
+    this.log.append({kind: 'bundle', body: bundle});
+    const rate = () => 1 + (random.next() * 2 - 1) * drift;
+    for (const s of bundle.servers) {
+      this.servers.set(s.id, new ModelServer(s.id, rate()));
+    }
+    for (const {id, zone} of vms) {
+      const vm = new ModelVm(id, zone, rate(), random.below(1e6));
+      vm.termSeenAtMs = vm.clockMs(0);
+      this.vms.push(vm);
+      this.every(STEP_MS, () => this.stepVm(vm));
+      this.every(LOG_READ_MS, () => this.readLog(vm));
+      this.every(HEARTBEAT_MS, () => this.heartbeat(vm));
+    }
+    this.every(STEP_MS, () => this.startRequests());
+  }
+
+  at(delayMs: number, run: () => void): void {
+    const event = {at: this.t + delayMs, order: this.order++, run};
+    let i = this.queue.length;
+    while (i > 0 && this.queue[i - 1]!.at < event.at) i--;
+    while (i > 0 && this.queue[i - 1]!.at === event.at) i--;
+    this.queue.splice(i, 0, event);
+  }
+
+  run(durationMs: number): void {
+    const end = this.t + durationMs;
+    while (this.queue.length > 0 && this.queue.at(-1)!.at <= end) {
+      const event = this.queue.pop()!;
+      this.t = event.at;
+      event.run();
+      this.check();
+    }
+    this.t = end;
+  }
+
+  /** Servers that would run a request for a shard with some epoch and fence. */
+  acceptors(shard: string): string[] {
+    return [...this.servers.values()]
+      .filter(s => s.accepts(this.t, shard))
+      .map(s => s.id);
+  }
+
+  shards(): string[] {
+    const rows = this.log.latest.services.get('svc')!.rows;
+    return rows.map((_, shard) => `svc/${shard}`);
+  }
+
+  unserved(): string[] {
+    return this.shards().filter(s => this.acceptors(s).length === 0);
+  }
+
+  owned(server: string): number {
+    const rows = this.log.latest.services.get('svc')!.rows;
+    return rows.filter(r => r.server === server).length;
+  }
+
+  holder(zone = 'z1'): ModelVm {
+    const id = this.log.latest.terms.get(zone)?.holder;
+    return this.vms.find(v => v.id === id)!;
+  }
+
+  /** Lets a paused VM handle what arrived meanwhile, before its next step. */
+  resume(vm: ModelVm): void {
+    vm.paused = false;
+    for (const handle of vm.inbox.splice(0)) handle();
+  }
+
+  private check(): void {
+    for (const shard of this.shards()) {
+      const found = this.acceptors(shard);
+      if (found.length > 1) {
+        this.violations.push(`t=${this.t} ${shard} at ${found.join(' and ')}`);
+      }
+    }
+  }
+
+  private every(intervalMs: number, run: () => void): void {
+    const tick = () => {
+      run();
+      this.at(intervalMs, tick);
+    };
+    this.at(this.random.below(intervalMs), tick);
+  }
+
+  private latencyMs(): number {
+    const slow = this.random.next() < this.faults.delay;
+    return slow ? 200 + this.random.below(4_000) : 1 + this.random.below(8);
+  }
+
+  private startRequests(): void {
+    for (const server of this.servers.values()) {
+      for (const shard of this.shards()) {
+        if (this.random.next() > 0.02) continue;
+        if (!server.accepts(this.t, shard)) continue;
+        const endsAt = this.t + this.random.below(200);
+        const present = server.running.get(shard) ?? 0;
+        server.running.set(shard, Math.max(present, endsAt));
+      }
+    }
+  }
+
+  private deliver(vm: ModelVm, handle: () => void): void {
+    if (vm.paused) vm.inbox.push(handle);
+    else handle();
+  }
+
+  private heartbeat(vm: ModelVm): void {
+    if (vm.paused || vm.peersCut) return;
+    for (const peer of this.vms) {
+      if (peer === vm || peer.peersCut) continue;
+      this.at(1, () =>
+        this.deliver(peer, () =>
+          peer.heardAtMs.set(vm.id, peer.clockMs(this.t)),
+        ),
+      );
+    }
+  }
+
+  private canReachLog(vm: ModelVm): boolean {
+    return !this.logDown && !vm.logCut;
+  }
+
+  private readLog(vm: ModelVm): void {
+    if (vm.paused || !this.canReachLog(vm)) return;
+    const startedAtMs = vm.clockMs(this.t);
+    const offset = this.log.latest.offset;
+    this.at(this.random.below(20), () =>
+      this.deliver(vm, () => {
+        if (offset < vm.offset) return;
+        this.follow(vm, offset);
+        if (vm.assigner && this.state(vm).terms.get(vm.zone)) {
+          vm.termConfirmedAtMs = startedAtMs;
+        }
+      }),
+    );
+  }
+
+  private follow(vm: ModelVm, offset: number): void {
+    const nowMs = vm.clockMs(this.t);
+    for (; vm.offset < offset; vm.offset++) {
+      const record = this.log.records[vm.offset]!;
+      if (record.kind === 'bundle') continue;
+      const author = this.vms.find(v => v.id === record.author);
+      if (author?.zone === 'z1') vm.lastZoneRecordAtMs = nowMs;
+      if (record.kind !== 'term' || !this.log.accepted[vm.offset]) continue;
+      vm.termSeenAtMs = nowMs;
+      vm.electing = false;
+      vm.assigner =
+        record.author === vm.id
+          ? new Assigner({
+              vm: vm.id,
+              zone: record.zone,
+              term: vm.offset + 1,
+              termAcknowledgedAtMs: nowMs,
+              nowMs,
+              hasPredecessor: record.baseTerm > 0,
+            })
+          : vm.assigner;
+      vm.termConfirmedAtMs = -Infinity;
+    }
+  }
+
+  private state(vm: ModelVm): RouterState {
+    return this.log.states[vm.offset]!;
+  }
+
+  private stepVm(vm: ModelVm): void {
+    if (vm.paused) return;
+    this.elect(vm);
+    if (!vm.assigner) return;
+    const nowMs = vm.clockMs(this.t);
+    const commands = vm.assigner.step({
+      nowMs,
+      wallMs: this.t,
+      state: this.state(vm),
+      entries: this.vms
+        .filter(v => v.zone === vm.zone)
+        .filter(v => v === vm || nowMs - (vm.heardAtMs.get(v.id) ?? 0) < 750)
+        .map(v => ({vm: v.id, capacity: 1, draining: v.draining})),
+      removedServers: this.removed,
+      logAvailable: this.canReachLog(vm),
+      termConfirmedAtMs: vm.termConfirmedAtMs,
+    });
+    for (const command of commands) this.carryOut(vm, command);
+  }
+
+  private elect(vm: ModelVm): void {
+    const state = this.state(vm);
+    if (vm.electing) return;
+    const record = decideElection({
+      self: {vm: vm.id, zone: vm.zone, draining: vm.draining},
+      zone: 'z1',
+      nowMs: vm.clockMs(this.t),
+      peers: this.vms
+        .filter(v => v !== vm)
+        .map(v => ({
+          vm: v.id,
+          zone: v.zone,
+          lastHeardAtMs: vm.heardAtMs.get(v.id) ?? -Infinity,
+          drainingSinceMs: v.draining ? 0 : null,
+        })),
+      state,
+      logAvailable: this.canReachLog(vm),
+      observedSinceMs: vm.clockMs(0),
+      termSeenAtMs: vm.termSeenAtMs,
+      lastZoneRecordAtMs: vm.lastZoneRecordAtMs,
+    });
+    if (!record) return;
+    vm.electing = true;
+    this.at(5, () => {
+      this.log.append(record);
+      this.at(150, () => (vm.electing = false));
+    });
+  }
+
+  private carryOut(vm: ModelVm, command: AssignerCommand): void {
+    const assigner = vm.assigner!;
+    switch (command.kind) {
+      case 'lease':
+      case 'probe': {
+        const request = command.kind === 'lease' ? command.request : null;
+        this.call(vm, assigner, command.server, request);
+        return;
+      }
+      case 'append':
+        this.append(vm, assigner, command.record);
+        return;
+      case 'shard-drain': {
+        const {term, server, service, shards, drain} = command.message;
+        const kind = 'shard-drained';
+        if (!drain) return;
+        this.at(this.latencyMs() * 2, () =>
+          this.deliver(vm, () =>
+            assigner.onShardDrained({kind, term, server, service, shards}),
+          ),
+        );
+        return;
+      }
+      case 'dispatch-stop': {
+        const {term, server} = command.message;
+        this.at(this.latencyMs() * 2, () =>
+          this.deliver(vm, () =>
+            assigner.onDispatchStopped({
+              kind: 'dispatch-stopped',
+              term,
+              server,
+            }),
+          ),
+        );
+        return;
+      }
+      case 'event':
+        vm.events.push(command.event.kind);
+        return;
+      case 'dispatch-table':
+      case 'permission':
+    }
+  }
+
+  private call(
+    vm: ModelVm,
+    assigner: Assigner,
+    id: string,
+    request: LeaseRequest | null,
+  ): void {
+    let open = true;
+    this.at(CALL_TIMEOUT_MS, () =>
+      this.deliver(vm, () => {
+        if (!open) return;
+        open = false;
+        const nowMs = vm.clockMs(this.t);
+        assigner.onServerFailure({server: id, nowMs});
+      }),
+    );
+    if (vm.serversCut || this.random.next() < this.faults.drop) return;
+    const server = this.servers.get(id)!;
+    const arrive = (answer: boolean) => {
+      if (server.state === 'dead') return;
+      if (server.state === 'frozen') {
+        this.at(50, () => arrive(answer));
+        return;
+      }
+      const taken = request === null || server.takeLease(request);
+      const status = server.status(this.t);
+      if (!answer || this.random.next() < this.faults.drop) return;
+      this.at(this.latencyMs(), () =>
+        this.deliver(vm, () => {
+          if (!open || vm.serversCut) return;
+          open = false;
+          const receivedAtMs = vm.clockMs(this.t);
+          if (!taken) {
+            assigner.onLeaseRefused({server: id, term: status.term});
+            return;
+          }
+          const sentLease = request;
+          assigner.onServerStatus({
+            server: id,
+            receivedAtMs,
+            status,
+            sentLease,
+          });
+        }),
+      );
+    };
+    this.at(this.latencyMs(), () => arrive(true));
+    if (this.random.next() < this.faults.duplicate) {
+      this.at(this.random.below(6_000), () => arrive(false));
+    }
+  }
+
+  private append(
+    vm: ModelVm,
+    assigner: Assigner,
+    record: Parameters<TestLog['append']>[0],
+  ): void {
+    const write = () => {
+      if (!this.canReachLog(vm)) {
+        this.at(100, write);
+        return;
+      }
+      this.checkPlanned(record);
+      const offset = this.log.append(record);
+      if (this.random.next() < this.faults.duplicate) this.log.append(record);
+      this.awaitFold(vm, assigner, offset);
+    };
+    this.at(this.latencyMs(), write);
+  }
+
+  /** A planned move must not be recorded while the source runs the shard. */
+  private checkPlanned(record: Parameters<TestLog['append']>[0]): void {
+    if (record.kind !== 'assign') return;
+    for (const change of record.changes) {
+      if (change.reason !== 'leaving' && change.reason !== 'balance') continue;
+      const row = this.log.latest.services.get('svc')!.rows[change.shard]!;
+      const source = this.servers.get(row.server ?? '');
+      const endsAt = source?.running.get(shardKey(change)) ?? 0;
+      if (source?.state === 'live' && endsAt > this.t) {
+        this.violations.push(`t=${this.t} ${shardKey(change)} cut`);
+      }
+    }
+  }
+
+  private awaitFold(vm: ModelVm, assigner: Assigner, offset: number): void {
+    if (vm.offset < offset || vm.paused) {
+      this.at(20, () => this.awaitFold(vm, assigner, offset));
+      return;
+    }
+    const accepted = this.log.accepted[offset - 1]!;
+    assigner.onAppendResult({recordId: String(offset), accepted});
+  }
+}
