Add request decisions of the dispatcher

The dispatcher needs queue limits, attempt rules, crash records, retry budget and load estimates that tests can drive without I/O.

All take the clock as an argument. Every dropped attempt record raises the takeover time of its shard, expired ones included: relying on the 10 min window alone was ruled out because a wall clock that steps back would open it again.

--- /dev/null
+++ b/packages/core/src/core/request/dispatch-queue.ts
@@ -0,0 +1,243 @@
+/** Queue and slot limit of one server. */
+import {requestFailure, type RequestFailure} from '../../types/index.js';
+
+const QUEUED_PER_SLOT = 64;
+/** Length of the lower limit after a server refused for lack of a slot. */
+const SHED_PENALTY_MS = 1_000;
+const DEFAULT_MAX_BYTES = 64 * 1024 * 1024;
+
+/** A request that waits for a slot or holds one. */
+export interface QueueEntry<T> {
+  readonly value: T;
+  /** Service and shard as one string. */
+  readonly shardId: string;
+  /** Monotonic time after which the request is not started. */
+  readonly deadlineMs: number;
+  /** Memory that the waiting request holds. */
+  readonly sizeBytes: number;
+  readonly suspect: boolean;
+}
+
+/** How a started request ended, as far as the limit is concerned. */
+export type SlotResult = 'success' | 'failure' | 'shed';
+
+/** Limits of a queue. */
+export interface QueueOptions {
+  readonly slots: number;
+  readonly maxQueued?: number;
+  readonly maxQueuedBytes?: number;
+}
+
+/** FIFO with deadlines in front of a server's slots. */
+export class DispatchQueue<T> {
+  private readonly waiting = new Set<QueueEntry<T>>();
+  private readonly running = new Set<QueueEntry<T>>();
+  private readonly queuedByShard = new Map<string, number>();
+  private readonly runningByShard = new Map<string, number>();
+  private readonly draining = new Set<string>();
+  private readonly maxQueued: number;
+  private readonly maxQueuedBytes: number;
+  private queuedBytes = 0;
+  private grownLimit = 1;
+  /** Ends of the penalties in force, in order. */
+  private penaltyEnds: number[] = [];
+
+  /**
+   * @param options - Limits of the server.
+   */
+  constructor(private readonly options: QueueOptions) {
+    this.maxQueued = options.maxQueued ?? QUEUED_PER_SLOT * options.slots;
+    this.maxQueuedBytes = options.maxQueuedBytes ?? DEFAULT_MAX_BYTES;
+  }
+
+  /** Number of waiting requests. */
+  get queued(): number {
+    return this.waiting.size;
+  }
+
+  /** Bytes that waiting requests hold. */
+  get bytes(): number {
+    return this.queuedBytes;
+  }
+
+  /** Number of started requests. */
+  get inFlight(): number {
+    return this.running.size;
+  }
+
+  /**
+   * Present limit of started requests.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns At least one.
+   */
+  limit(nowMs: number): number {
+    this.penaltyEnds = this.penaltyEnds.filter(end => end > nowMs);
+    return Math.max(1, this.grownLimit - this.penaltyEnds.length);
+  }
+
+  /**
+   * Adds a request at the end.
+   *
+   * @param entry - The request.
+   * @param serviceTimeMs - Mean service time of the server.
+   * @param nowMs - Monotonic time.
+   * @returns Null when added, else why the request is refused.
+   */
+  offer(
+    entry: QueueEntry<T>,
+    serviceTimeMs: number,
+    nowMs: number,
+  ): RequestFailure | null {
+    if (entry.deadlineMs <= nowMs) return requestFailure('deadline-expired', 0);
+    const waitMs = this.expectedWaitMs(serviceTimeMs, nowMs);
+    const ofShard = this.queuedByShard.get(entry.shardId) ?? 0;
+    if (
+      this.waiting.size >= this.maxQueued ||
+      this.queuedBytes + entry.sizeBytes > this.maxQueuedBytes
+    ) {
+      return requestFailure('queue-full', waitMs);
+    }
+    if (ofShard >= Math.ceil(this.maxQueued / 2)) {
+      return requestFailure('shard-queue-full', waitMs);
+    }
+    if (waitMs > entry.deadlineMs - nowMs) {
+      return requestFailure('deadline-unreachable', waitMs);
+    }
+    this.waiting.add(entry);
+    this.queuedBytes += entry.sizeBytes;
+    this.queuedByShard.set(entry.shardId, ofShard + 1);
+    return null;
+  }
+
+  /**
+   * Takes the next request that may start; it holds a slot until `finish`.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns The request, or null when none may start now.
+   */
+  next(nowMs: number): QueueEntry<T> | null {
+    if (this.running.size >= this.limit(nowMs)) return null;
+    const suspectRuns = [...this.running].some(entry => entry.suspect);
+    for (const entry of this.waiting) {
+      if (entry.deadlineMs <= nowMs) continue;
+      if (this.draining.has(entry.shardId)) continue;
+      // A second crash must point at one request, so suspects run singly.
+      if (entry.suspect && suspectRuns) continue;
+      this.remove(entry);
+      this.running.add(entry);
+      addTo(this.runningByShard, entry.shardId, 1);
+      return entry;
+    }
+    return null;
+  }
+
+  /**
+   * Removes the waiting requests whose deadline has passed.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns The removed requests.
+   */
+  expire(nowMs: number): QueueEntry<T>[] {
+    const expired = [...this.waiting].filter(e => e.deadlineMs <= nowMs);
+    for (const entry of expired) this.remove(entry);
+    return expired;
+  }
+
+  /**
+   * Removes a waiting request.
+   *
+   * @param entry - The request.
+   * @returns False when it does not wait.
+   */
+  remove(entry: QueueEntry<T>): boolean {
+    if (!this.waiting.delete(entry)) return false;
+    this.queuedBytes -= entry.sizeBytes;
+    addTo(this.queuedByShard, entry.shardId, -1);
+    return true;
+  }
+
+  /**
+   * Gives a slot back.
+   *
+   * @param entry - A started request.
+   * @param result - How it ended.
+   * @param nowMs - Monotonic time.
+   */
+  finish(entry: QueueEntry<T>, result: SlotResult, nowMs: number): void {
+    if (!this.running.delete(entry)) return;
+    addTo(this.runningByShard, entry.shardId, -1);
+    if (result === 'success') {
+      this.grownLimit = Math.min(this.options.slots, this.grownLimit + 1);
+    } else if (result === 'shed' && this.limit(nowMs) > 1) {
+      this.penaltyEnds.push(nowMs + SHED_PENALTY_MS);
+    }
+  }
+
+  /** Starts again with one slot, for a cold server. */
+  resetLimit(): void {
+    this.grownLimit = 1;
+    this.penaltyEnds = [];
+  }
+
+  /**
+   * Holds back or releases the requests of a shard.
+   *
+   * @param shardId - Service and shard.
+   * @param on - True to hold them back.
+   */
+  setDrain(shardId: string, on: boolean): void {
+    if (on) this.draining.add(shardId);
+    else this.draining.delete(shardId);
+  }
+
+  /**
+   * Counts the started requests of a shard.
+   *
+   * @param shardId - Service and shard.
+   * @returns Number of requests in flight.
+   */
+  inFlightOf(shardId: string): number {
+    return this.runningByShard.get(shardId) ?? 0;
+  }
+
+  /** Waiting requests in order. */
+  waitingEntries(): IterableIterator<QueueEntry<T>> {
+    return this.waiting.values();
+  }
+
+  /** Started requests. */
+  runningEntries(): IterableIterator<QueueEntry<T>> {
+    return this.running.values();
+  }
+
+  /**
+   * Next time at which a deadline or a penalty ends.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns Monotonic time, or null when nothing waits.
+   */
+  nextWakeMs(nowMs: number): number | null {
+    if (this.waiting.size === 0) return null;
+    let wakeMs = Infinity;
+    for (const entry of this.waiting) {
+      wakeMs = Math.min(wakeMs, entry.deadlineMs);
+    }
+    for (const end of this.penaltyEnds) {
+      if (end > nowMs) wakeMs = Math.min(wakeMs, end);
+    }
+    return wakeMs;
+  }
+
+  private expectedWaitMs(serviceTimeMs: number, nowMs: number): number {
+    const limit = this.limit(nowMs);
+    if (this.waiting.size === 0 && this.running.size < limit) return 0;
+    return ((this.waiting.size + 1) * serviceTimeMs) / limit;
+  }
+}
+
+function addTo(counts: Map<string, number>, id: string, delta: number): void {
+  const count = (counts.get(id) ?? 0) + delta;
+  if (count === 0) counts.delete(id);
+  else counts.set(id, count);
+}
--- /dev/null
+++ b/packages/core/src/core/request/headers.ts
@@ -0,0 +1,69 @@
+/** Which HTTP headers pass from one side to the other. */
+
+/** Header fields by lower-case name. */
+export type HeaderMap = Record<string, string | string[]>;
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+const OWN_PREFIX = 'wisteriarun-';
+const REQUEST_TIMEOUT = 'request-timeout-ms';
+
+/**
+ * Drops hop-by-hop headers and those of wisteriarun itself, so that neither a
+ * caller nor a server can state an outcome or an owner to the other side.
+ *
+ * @param headers - Headers as received.
+ * @returns Headers to forward.
+ */
+export function forwardableHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): HeaderMap {
+  const listed = String(headers['connection'] ?? '')
+    .split(',')
+    .map(name => name.trim().toLowerCase());
+  const result: HeaderMap = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || HOP_BY_HOP.has(name)) continue;
+    if (name.startsWith(OWN_PREFIX) || name === REQUEST_TIMEOUT) continue;
+    if (listed.includes(name)) continue;
+    result[name] = value;
+  }
+  return result;
+}
+
+/**
+ * Reads a header that must have one value.
+ *
+ * @param headers - Headers as received.
+ * @param name - Name in lower case.
+ * @returns The value, or null when it is missing or repeated.
+ */
+export function singleHeader(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+  name: string,
+): string | null {
+  const value = headers[name];
+  return typeof value === 'string' ? value : null;
+}
+
+/**
+ * Parses a non-negative decimal integer.
+ *
+ * @param text - Text of a header.
+ * @returns The number, or null when the text is anything else.
+ */
+export function parseCount(text: string | null): number | null {
+  if (text === null || !/^\d{1,15}$/.test(text)) return null;
+  return Number(text);
+}
--- /dev/null
+++ b/packages/core/src/core/request/idempotency.ts
@@ -0,0 +1,32 @@
+/** Method classes and the creation time in idempotency keys. */
+
+const UUID_V7 =
+  /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+
+const IDEMPOTENT = new Set(['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS']);
+const NON_REPEATABLE = new Set(['POST', 'PATCH']);
+
+/** Whether a request may run more than once. */
+export type MethodClass = 'idempotent' | 'non-repeatable' | 'unsupported';
+
+/**
+ * Classifies an HTTP method.
+ *
+ * @param method - Method in upper case.
+ * @returns The class; `unsupported` methods are refused.
+ */
+export function methodClass(method: string): MethodClass {
+  if (IDEMPOTENT.has(method)) return 'idempotent';
+  return NON_REPEATABLE.has(method) ? 'non-repeatable' : 'unsupported';
+}
+
+/**
+ * Reads the creation time of a UUIDv7.
+ *
+ * @param text - Value of an `Idempotency-Key` header.
+ * @returns Wall time in milliseconds, or null when the text is not a UUIDv7.
+ */
+export function uuidV7TimeMs(text: string): number | null {
+  if (!UUID_V7.test(text)) return null;
+  return Number.parseInt(text.slice(0, 8) + text.slice(9, 13), 16);
+}
--- /dev/null
+++ b/packages/core/src/core/request/retry-budget.ts
@@ -0,0 +1,75 @@
+/** Bounds the share of requests that are sent again. */
+
+const WINDOW_MS = 10_000;
+const BUCKET_MS = 1_000;
+const BUCKETS = WINDOW_MS / BUCKET_MS;
+const RETRY_RATIO = 0.1;
+const RETRY_FLOOR = 10;
+
+interface Bucket {
+  index: number;
+  requests: number;
+  retries: number;
+}
+
+/** Allows retries up to 10% of the requests of the last 10 s, plus 10. */
+export class RetryBudget {
+  private readonly buckets: Bucket[] = Array.from({length: BUCKETS}, () => ({
+    index: -1,
+    requests: 0,
+    retries: 0,
+  }));
+
+  /**
+   * Counts a first try.
+   *
+   * @param nowMs - Monotonic time.
+   */
+  recordRequest(nowMs: number): void {
+    this.bucketAt(nowMs).requests += 1;
+  }
+
+  /**
+   * Takes one retry out of the budget.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns False when the budget is empty.
+   */
+  tryRetry(nowMs: number): boolean {
+    const current = this.bucketAt(nowMs);
+    let requests = 0;
+    let retries = 0;
+    for (const bucket of this.buckets) {
+      if (bucket.index <= current.index - BUCKETS) continue;
+      requests += bucket.requests;
+      retries += bucket.retries;
+    }
+    if (retries + 1 > requests * RETRY_RATIO + RETRY_FLOOR) return false;
+    current.retries += 1;
+    return true;
+  }
+
+  private bucketAt(nowMs: number): Bucket {
+    const index = Math.floor(nowMs / BUCKET_MS);
+    const bucket = this.buckets[index % BUCKETS]!;
+    if (bucket.index !== index) {
+      bucket.index = index;
+      bucket.requests = 0;
+      bucket.retries = 0;
+    }
+    return bucket;
+  }
+}
+
+/**
+ * Delay before a retry, doubled for each try and jittered so that entries do
+ * not retry in step.
+ *
+ * @param attempt - Number of earlier tries, from 1.
+ * @param random - Random number in [0, 1).
+ * @returns Milliseconds.
+ */
+export function retryDelayMs(attempt: number, random: number): number {
+  const ceilingMs = Math.min(400, 10 * 2 ** attempt);
+  return ceilingMs * (0.5 + random / 2);
+}
--- /dev/null
+++ b/packages/core/src/core/request/service-time.ts
@@ -0,0 +1,220 @@
+/** Load estimates of one server from the requests that its dispatcher sees. */
+import type {ServerLoad, ShardLoad} from '../../types/index.js';
+
+const BUSY_TIME_CONSTANT_MS = 10_000;
+const SERVICE_TIME_WEIGHT = 0.1;
+const SKETCH_KEYS = 8;
+/** Below this share of a slot an idle shard is left out of reports. */
+const IDLE_BUSY_SLOTS = 0.001;
+
+/** Average of the number of requests in flight, exponentially weighted. */
+class BusyMeter {
+  inFlight = 0;
+  private value = 0;
+
+  constructor(private updatedMs: number) {}
+
+  add(delta: number, nowMs: number): void {
+    this.read(nowMs);
+    this.inFlight += delta;
+  }
+
+  read(nowMs: number): number {
+    const elapsedMs = Math.max(0, nowMs - this.updatedMs);
+    const decay = Math.exp(-elapsedMs / BUSY_TIME_CONSTANT_MS);
+    this.value = this.inFlight + (this.value - this.inFlight) * decay;
+    this.updatedMs = Math.max(this.updatedMs, nowMs);
+    return this.value;
+  }
+}
+
+/** Space-saving sketch: keeps the heaviest keys within a fixed size. */
+export class KeySketch {
+  private readonly weights = new Map<string, number>();
+  private total = 0;
+  private updatedMs = 0;
+
+  /**
+   * Adds weight to a key.
+   *
+   * @param key - The key.
+   * @param weight - Busy time in milliseconds.
+   * @param nowMs - Monotonic time.
+   */
+  add(key: string, weight: number, nowMs: number): void {
+    this.decay(nowMs);
+    this.total += weight;
+    const known = this.weights.get(key);
+    if (known !== undefined || this.weights.size < SKETCH_KEYS) {
+      this.weights.set(key, (known ?? 0) + weight);
+      return;
+    }
+    const [leastKey, least] = this.least();
+    this.weights.delete(leastKey);
+    this.weights.set(key, least + weight);
+  }
+
+  /**
+   * The heaviest key.
+   *
+   * @returns Its name and its share of the total, or null before any weight.
+   */
+  hottest(): {key: string; share: number} | null {
+    let best: {key: string; share: number} | null = null;
+    for (const [key, weight] of this.weights) {
+      const share = this.total > 0 ? weight / this.total : 0;
+      if (!best || share > best.share) best = {key, share: Math.min(1, share)};
+    }
+    return best;
+  }
+
+  private least(): [string, number] {
+    let result: [string, number] = ['', Infinity];
+    for (const [key, weight] of this.weights) {
+      if (weight < result[1]) result = [key, weight];
+    }
+    return result;
+  }
+
+  private decay(nowMs: number): void {
+    const elapsedMs = Math.max(0, nowMs - this.updatedMs);
+    this.updatedMs = Math.max(this.updatedMs, nowMs);
+    if (this.total === 0 || elapsedMs === 0) return;
+    const factor = Math.exp(-elapsedMs / BUSY_TIME_CONSTANT_MS);
+    this.total *= factor;
+    for (const [key, weight] of this.weights) {
+      this.weights.set(key, weight * factor);
+    }
+  }
+}
+
+interface ShardMeter {
+  readonly service: string;
+  readonly shard: number;
+  readonly busy: BusyMeter;
+  readonly keys: KeySketch;
+  meanMs: number | null;
+}
+
+/** Service times and busy slots of one server and its shards. */
+export class ServiceTimes {
+  private readonly busy: BusyMeter;
+  private readonly shards = new Map<string, ShardMeter>();
+  private meanMs: number | null = null;
+
+  /**
+   * @param server - Server id for the reports.
+   * @param nowMs - Monotonic time.
+   */
+  constructor(
+    private readonly server: string,
+    nowMs: number,
+  ) {
+    this.busy = new BusyMeter(nowMs);
+  }
+
+  /** Mean service time in milliseconds; 0 before the first request. */
+  get serviceTimeMs(): number {
+    return this.meanMs ?? 0;
+  }
+
+  /**
+   * Mean service time of one shard.
+   *
+   * @param service - Service id.
+   * @param shard - Shard number.
+   * @returns Milliseconds; the server's mean when the shard has none.
+   */
+  shardServiceTimeMs(service: string, shard: number): number {
+    return this.shards.get(`${service}/${shard}`)?.meanMs ?? this.serviceTimeMs;
+  }
+
+  /**
+   * Counts a started request.
+   *
+   * @param service - Service id.
+   * @param shard - Shard number.
+   * @param nowMs - Monotonic time.
+   */
+  start(service: string, shard: number, nowMs: number): void {
+    this.busy.add(1, nowMs);
+    this.shard(service, shard, nowMs).busy.add(1, nowMs);
+  }
+
+  /**
+   * Counts a finished request.
+   *
+   * @param service - Service id.
+   * @param shard - Shard number.
+   * @param key - The request's key.
+   * @param durationMs - Time for which the request held its slot.
+   * @param nowMs - Monotonic time.
+   * @param sample - False keeps a refusal out of the mean service time.
+   */
+  finish(
+    service: string,
+    shard: number,
+    key: string,
+    durationMs: number,
+    nowMs: number,
+    sample = true,
+  ): void {
+    const meter = this.shard(service, shard, nowMs);
+    this.busy.add(-1, nowMs);
+    meter.busy.add(-1, nowMs);
+    meter.keys.add(key, durationMs, nowMs);
+    if (!sample) return;
+    this.meanMs = blend(this.meanMs, durationMs);
+    meter.meanMs = blend(meter.meanMs, durationMs);
+  }
+
+  /**
+   * Reports the load and forgets shards that have become idle.
+   *
+   * @param queued - Number of waiting requests.
+   * @param nowMs - Monotonic time.
+   * @returns The report for the assigner.
+   */
+  report(queued: number, nowMs: number): ServerLoad {
+    const shards: ShardLoad[] = [];
+    for (const [id, meter] of this.shards) {
+      const busySlots = meter.busy.read(nowMs);
+      if (meter.busy.inFlight === 0 && busySlots < IDLE_BUSY_SLOTS) {
+        this.shards.delete(id);
+        continue;
+      }
+      const hottest = meter.keys.hottest();
+      shards.push({
+        service: meter.service,
+        shard: meter.shard,
+        busySlots,
+        hotKey: hottest?.key ?? null,
+        hotKeyShare: hottest?.share ?? 0,
+      });
+    }
+    return {
+      server: this.server,
+      serviceTimeMs: this.serviceTimeMs,
+      busySlots: this.busy.read(nowMs),
+      queued,
+      shards,
+    };
+  }
+
+  private shard(service: string, shard: number, nowMs: number): ShardMeter {
+    const id = `${service}/${shard}`;
+    let meter = this.shards.get(id);
+    if (!meter) {
+      const busy = new BusyMeter(nowMs);
+      meter = {service, shard, busy, keys: new KeySketch(), meanMs: null};
+      this.shards.set(id, meter);
+    }
+    return meter;
+  }
+}
+
+function blend(mean: number | null, sampleMs: number): number {
+  return mean === null
+    ? sampleMs
+    : mean + (sampleMs - mean) * SERVICE_TIME_WEIGHT;
+}
--- a/packages/core/src/types/lease.ts
+++ b/packages/core/src/types/lease.ts
@@ -65,6 +65,7 @@
   crashCount: 'wisteriarun-crash-count',
   key: 'wisteriarun-key',
   secret: 'wisteriarun-relay-secret',
+  retryAfterMs: 'wisteriarun-retry-after-ms',
   idempotencyKey: 'idempotency-key',
   requestTimeoutMs: 'request-timeout-ms',
 } as const;
--- /dev/null
+++ b/packages/core/test/request/attempts.test.ts
@@ -0,0 +1,187 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  ATTEMPT_WINDOW_MS,
+  AttemptTable,
+  CALLER_SKEW_MS,
+  MAX_REPLAY_BYTES,
+  VM_SKEW_MS,
+  type AttemptId,
+} from '@wisteriarun/core';
+
+const seed = Number(process.env['FC_SEED'] ?? Date.now() % 2 ** 31);
+const SKEW_MS = CALLER_SKEW_MS + VM_SKEW_MS;
+
+const idOf = (name: string, createdWallMs: number): AttemptId => ({
+  service: 's',
+  shard: 0,
+  key: 'k',
+  idempotencyKey: name,
+  createdWallMs,
+});
+
+type Command =
+  | {kind: 'submit'; request: number; entrySkewMs: number}
+  | {kind: 'end'; request: number; how: 'answered' | 'unknown' | 'not-run'}
+  | {kind: 'advance'; byMs: number}
+  | {kind: 'planned' | 'lost'; vmSkewMs: number};
+
+const commands: fc.Arbitrary<Command> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant('submit' as const),
+      request: fc.nat(7),
+      entrySkewMs: fc.integer({min: -VM_SKEW_MS / 2, max: VM_SKEW_MS / 2}),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('end' as const),
+      request: fc.nat(7),
+      how: fc.constantFrom('answered', 'unknown', 'not-run'),
+    }),
+  },
+  fc.record({
+    kind: fc.constant('advance' as const),
+    byMs: fc.oneof(fc.nat(2_000), fc.nat(700_000)),
+  }),
+  fc.record({
+    kind: fc.constantFrom('planned' as const, 'lost' as const),
+    vmSkewMs: fc.integer({min: -VM_SKEW_MS / 2, max: VM_SKEW_MS / 2}),
+  }),
+);
+
+describe('attempt table', () => {
+  it('never runs a request twice across evictions, handovers and losses', () => {
+    console.log(`fast-check seed ${seed}`);
+    const creation = fc.integer({min: -5_000, max: 10_000});
+    fc.assert(
+      fc.property(
+        fc.array(creation, {minLength: 8, maxLength: 8}),
+        fc.array(commands, {maxLength: 60}),
+        (created, steps) => {
+          let nowMs = 1_000_000;
+          let skewMs = 0;
+          let table = new AttemptTable({maxRecords: 3});
+          table.takeOver('s', 0, nowMs - 20_000);
+          const ids = created.map((c, i) => idOf(`r${i}`, 1_000_000 + c));
+          const mayHaveRun = new Set<string>();
+          const running = new Set<string>();
+          for (const step of steps) {
+            if (step.kind === 'advance') {
+              nowMs += step.byMs;
+            } else if (step.kind === 'submit') {
+              const id = ids[step.request]!;
+              const entryWallMs = nowMs + step.entrySkewMs;
+              if (id.createdWallMs > entryWallMs + CALLER_SKEW_MS) continue;
+              if (table.begin(id, nowMs + skewMs).kind !== 'run') continue;
+              expect(mayHaveRun.has(id.idempotencyKey)).toBe(false);
+              mayHaveRun.add(id.idempotencyKey);
+              running.add(id.idempotencyKey);
+            } else if (step.kind === 'end') {
+              const id = ids[step.request]!;
+              if (!running.delete(id.idempotencyKey)) continue;
+              if (step.how === 'unknown') table.endUnknown(id);
+              else if (step.how === 'answered') {
+                const body = new Uint8Array(4);
+                table.endAnswered(id, {status: 200, headers: {}, body});
+              } else {
+                table.endNotRun(id);
+                mayHaveRun.delete(id.idempotencyKey);
+              }
+            } else {
+              const next = new AttemptTable({maxRecords: 3});
+              if (step.kind === 'planned') {
+                const out = table.export('s', [0], nowMs + skewMs);
+                for (const {shard, knownSinceWallMs} of out.shards) {
+                  next.takeOver('s', shard, knownSinceWallMs);
+                }
+                for (const record of out.attempts) {
+                  const id = ids.find(
+                    i => i.idempotencyKey === record.idempotencyKey,
+                  )!;
+                  next.import(id, record.state as never);
+                }
+              } else {
+                next.takeOver('s', 0, nowMs + step.vmSkewMs);
+              }
+              skewMs = step.vmSkewMs;
+              table = next;
+              running.clear();
+            }
+          }
+        },
+      ),
+      {seed, numRuns: 2_000},
+    );
+  });
+
+  it('runs a request created after the takeover and the skew bounds only', () => {
+    const table = new AttemptTable();
+    table.takeOver('s', 0, 100_000);
+    const early = idOf('early', 100_000 + SKEW_MS);
+    const late = idOf('late', 100_001 + SKEW_MS);
+    expect(table.begin(early, 102_000).kind).toBe('unknown');
+    expect(table.begin(late, 102_000).kind).toBe('run');
+    expect(table.begin(late, 102_000).kind).toBe('wait');
+  });
+
+  it('replays a kept answer and does not replay one that was too large', () => {
+    const table = new AttemptTable();
+    table.takeOver('s', 0, 0);
+    for (const [name, size] of [
+      ['small', MAX_REPLAY_BYTES],
+      ['large', MAX_REPLAY_BYTES + 1],
+    ] as const) {
+      const id = idOf(name, 100_000);
+      expect(table.begin(id, 100_000).kind).toBe('run');
+      const body = new Uint8Array(size);
+      table.endAnswered(id, {status: 201, headers: {}, body});
+      const again = table.begin(id, 100_000).kind;
+      expect(again).toBe(name === 'small' ? 'replay' : 'unknown');
+    }
+  });
+
+  it('keeps a dropped request from running when the wall clock steps back', () => {
+    const table = new AttemptTable();
+    table.takeOver('s', 0, 0);
+    const id = idOf('a', 100_000);
+    expect(table.begin(id, 100_000).kind).toBe('run');
+    table.endUnknown(id);
+    const afterMs = 100_001 + ATTEMPT_WINDOW_MS;
+    expect(table.begin(id, afterMs)).toEqual({
+      kind: 'unknown',
+      reason: 'attempt-expired',
+    });
+    expect(table.size).toBe(0);
+    expect(table.begin(id, 100_000).kind).toBe('unknown');
+    table.release('s', 0);
+    table.takeOver('s', 0, 0);
+    expect(table.begin(id, 100_000).kind).toBe('unknown');
+  });
+
+  it('stays within its bounds in count and bytes', () => {
+    const table = new AttemptTable({maxRecords: 10, maxBytes: 20_000});
+    table.takeOver('s', 0, 0);
+    for (let i = 0; i < 100; i++) {
+      const id = idOf(`r${i}`, 100_000 + i * 2_000);
+      expect(table.begin(id, id.createdWallMs).kind).toBe('run');
+      const body = new Uint8Array(4_000);
+      table.endAnswered(id, {status: 200, headers: {}, body});
+      expect(table.size).toBeLessThanOrEqual(10);
+      expect(table.sizeBytes).toBeLessThanOrEqual(20_000);
+    }
+  });
+
+  it('does not lose a raised takeover time through a hot key shard', () => {
+    const table = new AttemptTable();
+    table.takeOver('s', 0, 0);
+    table.takeOver('s', 9, 50_000);
+    table.mergeKnowledge('s', 9, 0);
+    expect(table.knownSinceMs('s', 0)).toBe(50_000);
+    table.copyKnowledge('s', 0, 10);
+    expect(table.knownSinceMs('s', 10)).toBe(50_000);
+  });
+});
--- /dev/null
+++ b/packages/core/test/request/rules.test.ts
@@ -0,0 +1,115 @@
+import {describe, expect, it} from 'vitest';
+import {
+  CrashGuard,
+  RetryBudget,
+  ServiceTimes,
+  fingerprint,
+  forwardableHeaders,
+  methodClass,
+  uuidV7TimeMs,
+} from '@wisteriarun/core';
+
+describe('retry budget', () => {
+  it('allows 10 retries plus 10% of the requests of the last 10 s', () => {
+    const budget = new RetryBudget();
+    for (let i = 0; i < 50; i++) budget.recordRequest(0);
+    let allowed = 0;
+    while (budget.tryRetry(5_000)) allowed += 1;
+    expect(allowed).toBe(15);
+    expect(budget.tryRetry(9_999)).toBe(false);
+    expect(budget.tryRetry(15_000)).toBe(true);
+  });
+});
+
+describe('idempotency rules', () => {
+  it('reads the creation time of a UUIDv7 only', () => {
+    expect(uuidV7TimeMs('0190163d-8694-739b-aea5-966c26f8ad91')).toBe(
+      0x0190163d8694,
+    );
+    expect(uuidV7TimeMs('0190163d-8694-439b-aea5-966c26f8ad91')).toBeNull();
+    expect(uuidV7TimeMs('x')).toBeNull();
+  });
+
+  it('never repeats POST and PATCH', () => {
+    expect(methodClass('POST')).toBe('non-repeatable');
+    expect(methodClass('PATCH')).toBe('non-repeatable');
+    expect(methodClass('PUT')).toBe('idempotent');
+    expect(methodClass('CONNECT')).toBe('unsupported');
+  });
+});
+
+describe('header forwarding', () => {
+  it('drops hop-by-hop and forged wisteriarun headers', () => {
+    const headers = forwardableHeaders({
+      connection: 'close, x-hop',
+      'x-hop': '1',
+      'wisteriarun-fence': '9.9',
+      'transfer-encoding': 'chunked',
+      'x-kept': 'yes',
+    });
+    expect(headers).toEqual({'x-kept': 'yes'});
+  });
+});
+
+describe('crash guard', () => {
+  const parts = {
+    idempotencyKey: null,
+    service: 's',
+    key: 'k',
+    method: 'GET',
+    path: '/s/k',
+    lengthBytes: 0,
+  };
+
+  it('tells requests of one key apart', () => {
+    const other = {...parts, path: '/s/k/other'};
+    expect(fingerprint(parts)).not.toBe(fingerprint(other));
+    const keyed = {...parts, idempotencyKey: 'i'};
+    expect(fingerprint(keyed)).toBe(fingerprint({...keyed, path: '/x'}));
+  });
+
+  it('counts crashes, forgets after 10 min and clears an answered request', () => {
+    const guard = new CrashGuard();
+    const other = new CrashGuard();
+    guard.recordCrash('a', ['p', 'q', 'p'], 0);
+    other.merge(guard.recordCrash('b', ['p'], 10), 10);
+    expect([guard.count('p', 20), guard.count('q', 20)]).toEqual([2, 1]);
+    expect(other.count('p', 20)).toBe(2);
+    expect(guard.count('p', 600_010)).toBe(0);
+    const cleared = guard.clear('q')!;
+    other.raise('q', 1, 'a', 20);
+    other.merge([cleared], 20);
+    expect(other.count('q', 20)).toBe(0);
+  });
+
+  it('is bounded against many crashing requests', () => {
+    const guard = new CrashGuard();
+    guard.recordCrash(
+      'a',
+      Array.from({length: 12_000}, (_, i) => `${i}`),
+      0,
+    );
+    expect(guard.size).toBe(10_000);
+  });
+});
+
+describe('service times', () => {
+  it('estimates busy slots and finds the hot key among many', () => {
+    const times = new ServiceTimes('srv', 0);
+    let nowMs = 0;
+    for (let i = 0; i < 2_000; i++) {
+      const key = i % 10 < 6 ? 'hot' : `cold-${i}`;
+      times.start('s', 1, nowMs);
+      nowMs += 20;
+      times.finish('s', 1, key, 20, nowMs);
+      nowMs += 20;
+    }
+    const load = times.report(3, nowMs);
+    expect(load.serviceTimeMs).toBeCloseTo(20);
+    expect(load.busySlots).toBeGreaterThan(0.45);
+    expect(load.busySlots).toBeLessThan(0.55);
+    expect(load.shards[0]?.hotKey).toBe('hot');
+    expect(load.shards[0]?.hotKeyShare).toBeGreaterThan(0.5);
+    expect(times.report(0, nowMs + 200_000).shards).toEqual([]);
+  });
+});
