Add the caller port and the relay between entry VMs

Callers and entry VMs need the same three outcomes on the wire. A broken answer destroys the connection on both hops, so it never looks whole.

The relay client states not-run only when its socket never connected; a reused keep-alive socket gives unknown, because a reset there does not show whether the dispatcher read the request. Large bodies wait for 100 Continue.

A refusal during an upload is followed by a bounded drain, because closing at once resets the connection before the caller reads the refusal. A body that turns malformed after its head was forwarded gets no not-run answer.

--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @packageDocumentation
  */
-export {};
+export {CallerServer, type CallerServerOptions} from './server.js';
+export type {CallerAnswer, CallerHandler, CallerRequest} from './types.js';
--- /dev/null
+++ b/packages/caller/src/server.ts
@@ -0,0 +1,217 @@
+/** HTTP server for callers. */
+import {randomUUID} from 'node:crypto';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
+import {pipeline} from 'node:stream/promises';
+import {
+  HEADERS,
+  REASONS,
+  requestFailure,
+  type RequestFailure,
+} from '@wisteriarun/core';
+import {parseHead} from './parse.js';
+import type {CallerAnswer, CallerHandler} from './types.js';
+
+const HEALTH_PATH = '/health';
+const KEEP_ALIVE_MS = 60_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+const MAX_HEADER_BYTES = 16 * 1024;
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+const DRAIN_TIMEOUT_MS = 1_000;
+const MAX_DRAIN_BYTES = 8 * 1024 * 1024;
+const MALFORMED_RESPONSE =
+  'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n' +
+  'Wisteriarun-Outcome: not-run\r\nWisteriarun-Reason: malformed-request\r\n' +
+  '\r\n';
+
+/** Settings of the caller port. */
+export interface CallerServerOptions {
+  readonly host: string;
+  /** 0 chooses a free port. */
+  readonly port: number;
+}
+
+/** Accepts callers' requests and writes their answers. */
+export class CallerServer {
+  private readonly server: Server;
+  private shuttingDown = false;
+  private closing = false;
+  private active = 0;
+  private readonly busySockets = new Set<Duplex>();
+
+  /**
+   * @param options - Address.
+   * @param handler - Executes the requests.
+   */
+  constructor(
+    private readonly options: CallerServerOptions,
+    private readonly handler: CallerHandler,
+  ) {
+    this.server = createServer({
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: 0,
+    });
+    this.server.on('request', (req, res) => void this.serve(req, res));
+    this.server.on('clientError', (error, socket) => {
+      // A body that turns malformed belongs to a request that may have run.
+      if (this.busySockets.has(socket)) socket.destroy();
+      else refuseMalformed(error, socket);
+    });
+  }
+
+  /** Number of requests in flight. */
+  get inFlight(): number {
+    return this.active;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @returns The port.
+   */
+  listen(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, () => {
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Makes `/health` answer 503 while requests are still accepted. */
+  beginShutdown(): void {
+    this.shuttingDown = true;
+  }
+
+  /**
+   * Stops to accept and waits for the requests in flight, without a time
+   * limit.
+   *
+   * @returns Resolves when the last connection is closed.
+   */
+  close(): Promise<void> {
+    this.shuttingDown = true;
+    this.closing = true;
+    return new Promise(resolve => this.server.close(() => resolve()));
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse) {
+    req.on('error', () => {});
+    res.on('error', () => {});
+    if (this.closing) res.setHeader('connection', 'close');
+    if (req.url === HEALTH_PATH) {
+      res.writeHead(this.shuttingDown ? 503 : 200).end();
+      return;
+    }
+    const {socket} = req;
+    this.active += 1;
+    this.busySockets.add(socket);
+    try {
+      await this.execute(req, res);
+    } finally {
+      this.active -= 1;
+      this.busySockets.delete(socket);
+    }
+  }
+
+  private async execute(req: IncomingMessage, res: ServerResponse) {
+    const head = parseHead(req);
+    if ('kind' in head) {
+      writeFailure(req, res, head);
+      return;
+    }
+    const gone = new AbortController();
+    res.once('close', () => {
+      if (!res.writableFinished) gone.abort();
+    });
+    let result: CallerAnswer | RequestFailure;
+    try {
+      result = await this.handler.handle({
+        ...head,
+        id: randomUUID(),
+        method: req.method ?? 'GET',
+        path: req.url ?? '/',
+        body: req,
+        gone: gone.signal,
+      });
+    } catch {
+      result = requestFailure('internal-error');
+    }
+    if (this.closing && !res.headersSent) res.setHeader('connection', 'close');
+    if (result.kind === 'answered') await writeAnswer(res, result);
+    else writeFailure(req, res, result);
+  }
+}
+
+async function writeAnswer(res: ServerResponse, answer: CallerAnswer) {
+  if (res.destroyed) {
+    answer.body.destroy();
+    return;
+  }
+  res.writeHead(answer.status, {
+    ...answer.headers,
+    [HEADERS.outcome]: 'answered',
+  });
+  // A failed pipeline destroys the connection, so the answer looks broken.
+  await pipeline(answer.body, res).catch(() => {});
+}
+
+function writeFailure(
+  req: IncomingMessage,
+  res: ServerResponse,
+  failure: RequestFailure,
+): void {
+  if (res.destroyed) return;
+  const info = REASONS[failure.reason];
+  res.setHeader(HEADERS.outcome, info.outcome);
+  res.setHeader(HEADERS.reason, failure.reason);
+  if (info.retryAfter) {
+    const waitMs = failure.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
+    res.setHeader('retry-after', String(Math.max(1, Math.ceil(waitMs / 1000))));
+  }
+  res.setHeader('content-type', 'application/json');
+  const text = JSON.stringify({outcome: info.outcome, reason: failure.reason});
+  res.setHeader('content-length', Buffer.byteLength(text));
+  if (req.complete) {
+    res.writeHead(info.status).end(text);
+    return;
+  }
+  // Closing while the caller still sends resets the connection, and the reset
+  // can destroy the answer before the caller reads it.
+  res.setHeader('connection', 'close');
+  res.writeHead(info.status).write(text);
+  drain(req, () => res.end());
+}
+
+/** Discards the rest of a body within bounds. */
+function drain(req: IncomingMessage, done: () => void): void {
+  let size = 0;
+  const finish = () => {
+    clearTimeout(timer);
+    req.off('data', count).off('end', finish).off('close', finish);
+    done();
+  };
+  const count = (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > MAX_DRAIN_BYTES) finish();
+  };
+  const timer = setTimeout(finish, DRAIN_TIMEOUT_MS);
+  req.on('data', count).once('end', finish).once('close', finish);
+}
+
+function refuseMalformed(error: Error, socket: Duplex): void {
+  const code = (error as NodeJS.ErrnoException).code ?? '';
+  if (!socket.writable || code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  socket.end(MALFORMED_RESPONSE);
+}
--- /dev/null
+++ b/packages/caller/test/server.test.ts
@@ -0,0 +1,224 @@
+import {once} from 'node:events';
+import {request as httpRequest, type IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
+import {PassThrough, Readable} from 'node:stream';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+  CallerServer,
+  type CallerAnswer,
+  type CallerHandler,
+  type CallerRequest,
+} from '@wisteriarun/caller';
+import {requestFailure} from '@wisteriarun/core';
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+const answerOf = (
+  body: Readable,
+  headers: CallerAnswer['headers'] = {},
+): CallerAnswer => ({kind: 'answered', status: 200, headers, body});
+
+async function start(handle: CallerHandler['handle']) {
+  const seen: CallerRequest[] = [];
+  const server = new CallerServer(
+    {host: '127.0.0.1', port: 0},
+    {
+      handle: async request => {
+        seen.push(request);
+        return handle(request);
+      },
+    },
+  );
+  const port = await server.listen();
+  closers.push(() => void server.close());
+  return {server, port, seen};
+}
+
+function call(
+  port: number,
+  path: string,
+  options: {method?: string; headers?: Record<string, string>} = {},
+): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const req = httpRequest(
+      {host: '127.0.0.1', port, path, agent: false, ...options},
+      resolve,
+    );
+    req.on('error', reject);
+    req.end();
+  });
+}
+
+/** Sends raw bytes and returns all that comes back. */
+async function raw(port: number, text: string): Promise<string> {
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('data', chunk => (received += chunk));
+  socket.on('error', () => {});
+  socket.write(text);
+  await once(socket, 'close');
+  return received;
+}
+
+describe('caller port', () => {
+  it('parses service, key, deadline and idempotency key', async () => {
+    const {port, seen} = await start(async () =>
+      answerOf(Readable.from([Buffer.from('ok')])),
+    );
+    const res = await call(port, '/filing/a%2Fb/page?x=1', {
+      headers: {'Request-Timeout-Ms': '900000', 'Idempotency-Key': 'i1'},
+    });
+    expect(Buffer.concat(await res.toArray()).toString()).toBe('ok');
+    expect(res.headers['wisteriarun-outcome']).toBe('answered');
+    expect(seen[0]).toMatchObject({
+      service: 'filing',
+      key: 'a/b',
+      path: '/filing/a%2Fb/page?x=1',
+      timeoutMs: 600_000,
+      idempotencyKey: 'i1',
+      lengthBytes: 0,
+    });
+  });
+
+  it('writes outcome, reason and Retry-After of a failure', async () => {
+    const {port} = await start(async () => requestFailure('queue-full', 2_300));
+    const res = await call(port, '/s/k');
+    expect(res.statusCode).toBe(429);
+    expect(res.headers).toMatchObject({
+      'wisteriarun-outcome': 'not-run',
+      'wisteriarun-reason': 'queue-full',
+      'retry-after': '3',
+    });
+  });
+
+  it('does not claim not-run after an internal fault', async () => {
+    const {port} = await start(async () => {
+      throw new Error('fault');
+    });
+    const res = await call(port, '/s/k');
+    expect(res.headers['wisteriarun-outcome']).toBe('unknown');
+  });
+
+  it.each([
+    ['no key', '/s', {}],
+    ['empty key', '/s/', {}],
+    ['bad escape', '/s/%zz', {}],
+    ['oversize key', `/s/${'k'.repeat(600)}`, {}],
+    ['bad deadline', '/s/k', {headers: {'Request-Timeout-Ms': '-1'}}],
+    ['odd method', '/s/k', {method: 'TRACE'}],
+  ])('refuses a malformed request: %s', async (_name, path, options) => {
+    const {port, seen} = await start(async () => requestFailure('no-owner'));
+    const res = await call(port, path, options);
+    expect(res.statusCode).toBe(400);
+    expect(res.headers['wisteriarun-reason']).toBe('malformed-request');
+    expect(seen).toHaveLength(0);
+  });
+
+  it('refuses bytes that are not HTTP and oversize headers', async () => {
+    const {port, seen} = await start(async () => requestFailure('no-owner'));
+    const noise = await raw(port, 'noise\r\n\r\n');
+    expect(noise).toContain('Wisteriarun-Outcome: not-run');
+    const head = `GET /s/k HTTP/1.1\r\nHost: x\r\nA: ${'a'.repeat(20_000)}`;
+    expect(await raw(port, `${head}\r\n\r\n`)).toContain('not-run');
+    expect(seen).toHaveLength(0);
+  });
+
+  it('does not claim not-run when a forwarded body turns malformed', async () => {
+    const {port, seen} = await start(async request => {
+      await request.body.toArray().catch(() => {});
+      return requestFailure('server-connection-lost');
+    });
+    const head =
+      'POST /s/k HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const socket = connect(port, '127.0.0.1');
+    let received = '';
+    socket.on('data', chunk => (received += chunk));
+    socket.on('error', () => {});
+    socket.write(`${head}2\r\nab\r\n`);
+    await sleep(50);
+    expect(seen).toHaveLength(1);
+    socket.write('zz\r\n');
+    await once(socket, 'close');
+    expect(received).not.toContain('not-run');
+  });
+
+  it.each([
+    ['with a length', {'content-length': '100'}],
+    ['chunked', {}],
+  ])('breaks the connection when an answer %s breaks', async (_n, headers) => {
+    const {port} = await start(async () => {
+      const body = new PassThrough();
+      body.write('part');
+      setTimeout(() => body.destroy(new Error('lost')), 20);
+      return answerOf(body, headers as CallerAnswer['headers']);
+    });
+    const res = await call(port, '/s/k');
+    await expect(res.toArray()).rejects.toThrow();
+    expect(res.complete).toBe(false);
+  });
+
+  it('delivers a refusal while the caller still uploads', async () => {
+    const {port} = await start(async () => requestFailure('body-too-large'));
+    for (let i = 0; i < 20; i++) {
+      const status = await new Promise((resolve, reject) => {
+        const req = httpRequest(
+          {host: '127.0.0.1', port, path: '/s/k', method: 'PUT', agent: false},
+          res => resolve(res.statusCode),
+        );
+        req.on('error', reject);
+        req.end(Buffer.alloc(4 * 1024 * 1024));
+      });
+      expect(status).toBe(413);
+    }
+  });
+
+  it('reports a caller that went away', async () => {
+    const {port, seen} = await start(() => new Promise<CallerAnswer>(() => {}));
+    const req = httpRequest({host: '127.0.0.1', port, path: '/s/k'});
+    req.on('error', () => {});
+    req.end();
+    await sleep(50);
+    req.destroy();
+    await sleep(50);
+    expect(seen[0]?.gone.aborted).toBe(true);
+  });
+
+  it('holds back a source when the caller reads slowly', async () => {
+    let produced = 0;
+    const chunk = Buffer.alloc(64 * 1024);
+    const source = new Readable({
+      read() {
+        produced += chunk.length;
+        this.push(produced > 256 * 1024 * 1024 ? null : chunk);
+      },
+    });
+    const {port} = await start(async () => answerOf(source));
+    const res = await call(port, '/s/k');
+    res.pause();
+    await sleep(300);
+    expect(produced).toBeLessThan(32 * 1024 * 1024);
+    res.destroy();
+  });
+
+  it('shuts down without cutting an answer in flight', async () => {
+    const body = new PassThrough();
+    const {server, port} = await start(async () => answerOf(body));
+    body.write('first ');
+    const open = await call(port, '/s/k');
+    expect((await call(port, '/health')).statusCode).toBe(200);
+    server.beginShutdown();
+    expect((await call(port, '/health')).statusCode).toBe(503);
+    let closed = false;
+    const closing = server.close().then(() => (closed = true));
+    await sleep(50);
+    expect(closed).toBe(false);
+    await expect(call(port, '/s/k')).rejects.toThrow();
+    body.end('second');
+    expect(Buffer.concat(await open.toArray()).toString()).toBe('first second');
+    await closing;
+  });
+});
--- /dev/null
+++ b/packages/peer/src/relay/client.ts
@@ -0,0 +1,270 @@
+/** Relays requests to the dispatchers on other entry VMs. */
+import {
+  Agent,
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
+import {Readable} from 'node:stream';
+import {
+  HEADERS,
+  REASONS,
+  forwardableHeaders,
+  isReason,
+  parseCount,
+  requestFailure,
+  singleHeader,
+  type HeaderMap,
+  type Reason,
+} from '@wisteriarun/core';
+import type {RelayRequest, RelayResult} from './types.js';
+import {SERVER_HEADER} from './wire.js';
+
+const CONNECT_TIMEOUT_MS = 500;
+/** Below the keep-alive of `RelayServer`, so that this side closes first. */
+const IDLE_SOCKET_MS = 20_000;
+/** Allows a dispatcher to report the deadline itself. */
+const DEADLINE_GRACE_MS = 250;
+/** Bodies above this size wait for 100 Continue. */
+export const EXPECT_ABOVE_BYTES = 64 * 1024;
+
+/** Address of a relay server. */
+export interface RelayAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Sends requests to relay servers, with an agent for each. */
+export class RelayClient {
+  private readonly agents = new Map<string, Agent>();
+
+  /**
+   * @param secret - Deployment secret.
+   */
+  constructor(private readonly secret: string) {}
+
+  /**
+   * Relays a request.
+   *
+   * @param address - Relay server of the dispatcher.
+   * @param request - The request.
+   * @returns What became of it. Does not reject.
+   */
+  send(address: RelayAddress, request: RelayRequest): Promise<RelayResult> {
+    return new Promise(resolve => {
+      if (request.signal.aborted) {
+        resolve(failed('caller-gone'));
+        return;
+      }
+      try {
+        new Exchange(this.agent(address), address, this.secret, request).run(
+          resolve,
+        );
+      } catch {
+        // A header that Node refuses to send; nothing was written.
+        resolve(failed('malformed-request'));
+      }
+    });
+  }
+
+  /** Closes idle and active connections. */
+  close(): void {
+    for (const agent of this.agents.values()) agent.destroy();
+    this.agents.clear();
+  }
+
+  /**
+   * Closes the connections to a VM that has gone.
+   *
+   * @param address - Its relay server.
+   */
+  forget(address: RelayAddress): void {
+    const id = `${address.host}:${address.port}`;
+    this.agents.get(id)?.destroy();
+    this.agents.delete(id);
+  }
+
+  private agent(address: RelayAddress): Agent {
+    const id = `${address.host}:${address.port}`;
+    let agent = this.agents.get(id);
+    if (!agent) {
+      agent = new Agent({keepAlive: true, timeout: IDLE_SOCKET_MS});
+      this.agents.set(id, agent);
+    }
+    return agent;
+  }
+}
+
+/** One relayed request. */
+class Exchange {
+  private readonly out: ClientRequest;
+  private mayBeWritten = false;
+  private timedOut = false;
+  private settled = false;
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  constructor(
+    agent: Agent,
+    address: RelayAddress,
+    secret: string,
+    private readonly request: RelayRequest,
+  ) {
+    this.out = httpRequest({
+      agent,
+      host: address.host,
+      port: address.port,
+      method: request.method,
+      path: request.path,
+      headers: relayHeaders(request, secret),
+      setHost: true,
+    });
+  }
+
+  run(resolve: (result: RelayResult) => void): void {
+    const {out, request} = this;
+    const onAbort = () => out.destroy();
+    const settle = (result: RelayResult) => {
+      if (this.settled) return;
+      this.settled = true;
+      resolve(result);
+    };
+    request.signal.addEventListener('abort', onAbort, {once: true});
+    out.once('close', () => {
+      request.signal.removeEventListener('abort', onAbort);
+      for (const timer of this.timers) clearTimeout(timer);
+      settle(this.lost());
+    });
+    out.on('error', () => settle(this.lost()));
+    out.once('socket', socket => {
+      // Idle sockets time out through the agent; an active one must not.
+      socket.setTimeout(0);
+      if (!socket.connecting) {
+        this.mayBeWritten = true;
+        return;
+      }
+      const timer = setTimeout(() => out.destroy(), CONNECT_TIMEOUT_MS);
+      this.timers.push(timer);
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        this.mayBeWritten = true;
+      });
+    });
+    this.timers.push(
+      setTimeout(() => {
+        this.timedOut = true;
+        out.destroy();
+      }, request.remainingMs + DEADLINE_GRACE_MS),
+    );
+    out.once('response', answer => settle(this.resultOf(answer)));
+    this.upload();
+  }
+
+  private upload(): void {
+    const {out, request} = this;
+    const {body} = request;
+    if (!(body instanceof Readable)) {
+      request.onAdmitted?.();
+      out.end(body ?? undefined);
+      return;
+    }
+    if (!expects(request)) {
+      request.onAdmitted?.();
+      this.stream(body);
+      return;
+    }
+    out.once('continue', () => {
+      request.onAdmitted?.();
+      this.stream(body);
+    });
+    out.flushHeaders();
+  }
+
+  private stream(body: Readable): void {
+    const {out} = this;
+    const onError = () => out.destroy();
+    body.once('error', onError);
+    body.once('aborted', onError);
+    out.once('close', () => {
+      body.off('error', onError);
+      body.off('aborted', onError);
+      body.unpipe(out);
+    });
+    body.pipe(out);
+  }
+
+  private resultOf(answer: IncomingMessage): RelayResult {
+    const {headers} = answer;
+    const outcome = headers[HEADERS.outcome];
+    if (outcome === 'answered') {
+      return {
+        kind: 'answered',
+        status: answer.statusCode ?? 502,
+        headers: forwardableHeaders(headers),
+        body: answer,
+      };
+    }
+    answer.resume();
+    const reason = headers[HEADERS.reason];
+    // The relay answers 401 before it reads anything of the request.
+    if (answer.statusCode === 401) return failed('dispatcher-unreachable');
+    if (!isReason(reason) || REASONS[reason].outcome !== outcome) {
+      return failed('dispatcher-connection-lost');
+    }
+    const retryAfterMs = parseCount(
+      singleHeader(headers, HEADERS.retryAfterMs),
+    );
+    const crashCount = parseCount(singleHeader(headers, HEADERS.crashCount));
+    return {
+      kind: 'failed',
+      failure: requestFailure(reason, retryAfterMs),
+      crashCount: crashCount ?? 0,
+    };
+  }
+
+  private lost(): RelayResult {
+    const gone = this.request.signal.aborted;
+    if (!this.mayBeWritten) {
+      if (gone) return failed('caller-gone');
+      return failed(
+        this.timedOut ? 'deadline-expired' : 'dispatcher-unreachable',
+      );
+    }
+    return failed(
+      this.timedOut ? 'answer-timeout' : 'dispatcher-connection-lost',
+    );
+  }
+}
+
+function expects(request: RelayRequest): boolean {
+  const {lengthBytes, body} = request;
+  if (!(body instanceof Readable)) return false;
+  return lengthBytes === null || lengthBytes > EXPECT_ABOVE_BYTES;
+}
+
+function relayHeaders(request: RelayRequest, secret: string): HeaderMap {
+  const {fence, lengthBytes} = request;
+  const headers: HeaderMap = {
+    ...forwardableHeaders(request.headers),
+    [HEADERS.secret]: secret,
+    [HEADERS.requestId]: request.id,
+    [HEADERS.service]: request.service,
+    [HEADERS.key]: encodeURIComponent(request.key),
+    [SERVER_HEADER]: request.server,
+    [HEADERS.shard]: String(request.shard),
+    [HEADERS.epoch]: String(request.epoch),
+    [HEADERS.fence]: `${fence.term}.${fence.seq}`,
+    [HEADERS.deadlineMs]: String(Math.max(0, Math.floor(request.remainingMs))),
+    [HEADERS.crashCount]: String(request.crashCount),
+  };
+  delete headers['content-length'];
+  if (request.body === null) headers['content-length'] = '0';
+  else if (lengthBytes !== null)
+    headers['content-length'] = String(lengthBytes);
+  else headers['transfer-encoding'] = 'chunked';
+  if (expects(request)) headers['expect'] = '100-continue';
+  return headers;
+}
+
+function failed(reason: Reason): RelayResult {
+  return {kind: 'failed', failure: requestFailure(reason), crashCount: 0};
+}
--- /dev/null
+++ b/packages/peer/src/relay/server.ts
@@ -0,0 +1,215 @@
+/** Accepts requests that other entry VMs relay to this dispatcher. */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {pipeline} from 'node:stream/promises';
+import {
+  HEADERS,
+  REASONS,
+  forwardableHeaders,
+  parseCount,
+  requestFailure,
+  singleHeader,
+} from '@wisteriarun/core';
+import type {RelayHandler, RelayRequest, RelayResult} from './types.js';
+import {SERVER_HEADER, parseFence} from './wire.js';
+
+const KEEP_ALIVE_MS = 60_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+const MAX_HEADER_BYTES = 64 * 1024;
+
+/** Settings of a relay server. */
+export interface RelayServerOptions {
+  readonly host: string;
+  /** 0 chooses a free port. */
+  readonly port: number;
+  readonly secret: string;
+}
+
+/** HTTP server of the relay port. */
+export class RelayServer {
+  private readonly server: Server;
+  private readonly secretDigest: Buffer;
+  private closing = false;
+
+  /**
+   * @param options - Address and deployment secret.
+   * @param handler - Executes the requests.
+   */
+  constructor(
+    private readonly options: RelayServerOptions,
+    private readonly handler: RelayHandler,
+  ) {
+    this.secretDigest = digest(options.secret);
+    this.server = createServer({
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: 0,
+    });
+    this.server.on('request', (req, res) => void this.serve(req, res, false));
+    this.server.on(
+      'checkContinue',
+      (req, res) => void this.serve(req, res, true),
+    );
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @returns The port.
+   */
+  listen(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, () => {
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /**
+   * Stops to accept and waits for the requests in flight.
+   *
+   * @returns Resolves when the last connection is closed.
+   */
+  close(): Promise<void> {
+    this.closing = true;
+    return new Promise(resolve => this.server.close(() => resolve()));
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    waits: boolean,
+  ): Promise<void> {
+    res.on('error', () => {});
+    req.on('error', () => {});
+    if (!this.authenticated(req)) {
+      res.writeHead(401, {connection: 'close'}).end();
+      return;
+    }
+    const gone = new AbortController();
+    res.once('close', () => {
+      if (!res.writableFinished) gone.abort();
+    });
+    let admitted = !waits;
+    const request = parse(req, gone.signal, () => {
+      if (!admitted && !res.destroyed) res.writeContinue();
+      admitted = true;
+    });
+    const result: RelayResult = request
+      ? await this.handler.dispatch(request)
+      : {
+          kind: 'failed',
+          failure: requestFailure('malformed-request'),
+          crashCount: 0,
+        };
+    // Without 100 the sender keeps its body, so the connection cannot go on.
+    if (!admitted || this.closing) res.setHeader('connection', 'close');
+    await answer(res, result);
+  }
+
+  private authenticated(req: IncomingMessage): boolean {
+    const secret = singleHeader(req.headers, HEADERS.secret);
+    return timingSafeEqual(digest(secret ?? ''), this.secretDigest);
+  }
+}
+
+async function answer(res: ServerResponse, result: RelayResult): Promise<void> {
+  if (result.kind === 'failed') {
+    const {failure, crashCount} = result;
+    const info = REASONS[failure.reason];
+    res.writeHead(info.status, {
+      [HEADERS.outcome]: info.outcome,
+      [HEADERS.reason]: failure.reason,
+      [HEADERS.crashCount]: String(crashCount),
+      ...(failure.retryAfterMs === null
+        ? {}
+        : {[HEADERS.retryAfterMs]: String(Math.ceil(failure.retryAfterMs))}),
+    });
+    res.end();
+    return;
+  }
+  if (res.destroyed) {
+    result.body.destroy();
+    return;
+  }
+  res.writeHead(result.status, {
+    ...result.headers,
+    [HEADERS.outcome]: 'answered',
+  });
+  // A failed pipeline destroys the connection, so the answer looks broken.
+  await pipeline(result.body, res).catch(() => {});
+}
+
+function parse(
+  req: IncomingMessage,
+  signal: AbortSignal,
+  onAdmitted: () => void,
+): RelayRequest | null {
+  const text = (name: string) => singleHeader(req.headers, name);
+  const id = text(HEADERS.requestId);
+  const service = text(HEADERS.service);
+  const key = decode(text(HEADERS.key));
+  const server = text(SERVER_HEADER);
+  const shard = parseCount(text(HEADERS.shard));
+  const epoch = parseCount(text(HEADERS.epoch));
+  const fence = parseFence(text(HEADERS.fence));
+  const remainingMs = parseCount(text(HEADERS.deadlineMs));
+  const crashCount = parseCount(text(HEADERS.crashCount));
+  if (
+    id === null ||
+    service === null ||
+    key === null ||
+    server === null ||
+    shard === null ||
+    epoch === null ||
+    fence === null ||
+    remainingMs === null ||
+    crashCount === null
+  ) {
+    return null;
+  }
+  const chunked = req.headers['transfer-encoding'] !== undefined;
+  const lengthBytes = chunked
+    ? null
+    : (parseCount(text('content-length')) ?? 0);
+  return {
+    id,
+    method: req.method ?? 'GET',
+    path: req.url ?? '/',
+    headers: forwardableHeaders(req.headers),
+    service,
+    key,
+    server,
+    shard,
+    epoch,
+    fence,
+    idempotencyKey: text(HEADERS.idempotencyKey),
+    remainingMs,
+    crashCount,
+    lengthBytes,
+    body: lengthBytes === 0 ? null : req,
+    signal,
+    onAdmitted,
+  };
+}
+
+function decode(text: string | null): string | null {
+  if (text === null) return null;
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return null;
+  }
+}
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
--- /dev/null
+++ b/packages/peer/src/relay/wire.ts
@@ -0,0 +1,16 @@
+/** Header values of the relay. */
+import type {Fence} from '@wisteriarun/core';
+
+/** Names the server that the request is for. */
+export const SERVER_HEADER = 'wisteriarun-server';
+
+/**
+ * Parses a fence.
+ *
+ * @param text - `term.seq`.
+ * @returns The fence, or null when the text is malformed.
+ */
+export function parseFence(text: string | null): Fence | null {
+  const parts = /^(\d{1,15})\.(\d{1,15})$/.exec(text ?? '');
+  return parts ? {term: Number(parts[1]), seq: Number(parts[2])} : null;
+}
