Add stand-ins for the log service, VM list and servers

Cause: the router meets three outside systems, and its tests and demo need them with faults that can be switched while they run. Ruled out: a collector process for the servers' records, because a datagram or request that is on its way when a server is killed may be lost. A synchronous append to a file is complete before the server goes on. Change: LogService, VmList and BackendServer, each as a class and as a process. Values of keys live in a store that outlives a server, and servers cache them per epoch, so that a second owner shows as a stale read.

--- /dev/null
+++ b/testing/standins/src/backend-server.ts
@@ -0,0 +1,535 @@
+/** Stand-in for a backend server that owns keys exclusively. */
+import {createHash, randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {z} from 'zod';
+import {
+  CANCEL_PATH_PREFIX,
+  HEADERS,
+  LEASE_PATH,
+  REASONS,
+  STATUS_PATH,
+  leaseRequestSchema,
+  type LeaseRequest,
+  type Reason,
+  type ServerStatus,
+} from '@wisteriarun/core';
+import {MemoryKeyStore, versionOf, type KeyStore} from './key-store.js';
+import {
+  ATTEMPT_HEADER,
+  MemorySink,
+  type RecordSink,
+  type RunRecord,
+  type ServerRecord,
+} from './records.js';
+import {
+  HttpEndpoint,
+  headerOf,
+  readJson,
+  sendJson,
+  type Address,
+  type ListenOptions,
+} from './utils/http-endpoint.js';
+import {sleep, wallMs} from './utils/time.js';
+
+/** Header that makes the server crash when it starts the request. */
+export const CRASH_HEADER = 'x-standin-crash';
+
+/** Largest body that is kept as the value of its key. */
+const MAX_VALUE_BYTES = 64 * 1024;
+
+/** Behaviour that can be changed at run time. */
+export const backendBehaviourSchema = z.strictObject({
+  slots: z.int().min(1),
+  /** Requests accepted beyond the slots; they wait for a slot. */
+  extraRequests: z.int().min(0),
+  serviceTimeMs: z.number().min(0),
+  serviceTimeShape: z.enum(['fixed', 'exponential']),
+  /** Divides the service time. */
+  speed: z.number().positive(),
+  /** Number of requests after a start that are slower by `coldFactor`. */
+  coldRequests: z.int().min(0),
+  coldFactor: z.number().positive(),
+  draining: z.boolean(),
+  /** Load reported instead of the real one; null reports the real one. */
+  reportedLoad: z.number().nullable(),
+});
+export type BackendBehaviour = z.infer<typeof backendBehaviourSchema>;
+
+/** Options of a backend server. */
+export interface BackendServerOptions
+  extends ListenOptions, Partial<BackendBehaviour> {
+  readonly id: string;
+  /** Whether requests are checked against the lease; default true. */
+  readonly checksGrants?: boolean;
+  /** Offset of the server's monotonic clock. */
+  readonly clockOffsetMs?: number;
+  /** Relative drift of the server's monotonic clock. */
+  readonly clockDriftRatio?: number;
+  readonly store?: KeyStore;
+  /** Receives each record in addition to the server's own list. */
+  readonly sink?: RecordSink;
+  /** Called on a marked request; by default the server restarts in place. */
+  readonly onCrash?: () => void;
+}
+
+const DEFAULT_BEHAVIOUR: BackendBehaviour = {
+  slots: 3,
+  extraRequests: 0,
+  serviceTimeMs: 5,
+  serviceTimeShape: 'exponential',
+  speed: 1,
+  coldRequests: 0,
+  coldFactor: 5,
+  draining: false,
+  reportedLoad: null,
+};
+
+interface Run {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly service: string;
+  readonly key: string;
+  readonly shard: number;
+  readonly epoch: number;
+  readonly fence: string;
+  readonly requestId: string;
+  /** Boot of the server that accepted the request. */
+  readonly bootId: string;
+  readonly cancel: AbortController;
+  started: boolean;
+  expired: boolean;
+}
+
+interface Body {
+  readonly sizeBytes: number;
+  readonly sha256: string;
+  /** Null when the body is too large to keep. */
+  readonly text: string | null;
+}
+
+/** Backend server with leases, slots, cancel, deadlines and faults. */
+export class BackendServer {
+  private readonly endpoint = new HttpEndpoint(
+    (request, response) => this.handle(request, response, false),
+    (request, response) => this.handle(request, response, true),
+  );
+  private readonly memory = new MemorySink();
+  private readonly store: KeyStore;
+  private readonly runs = new Map<string, Run>();
+  private readonly slotWaiters: (() => void)[] = [];
+  private cache = new Map<string, {epoch: number; value: string}>();
+  private behaviour: BackendBehaviour;
+  private bootId = randomUUID();
+  private term = 0;
+  private lease: LeaseRequest | null = null;
+  private leaseText = '';
+  private running = 0;
+  private served = 0;
+  private filings = 0;
+
+  constructor(private readonly options: BackendServerOptions) {
+    const {success, data} = backendBehaviourSchema.safeParse(
+      Object.fromEntries(
+        Object.entries(DEFAULT_BEHAVIOUR).map(([name, value]) => [
+          name,
+          options[name as keyof BackendBehaviour] ?? value,
+        ]),
+      ),
+    );
+    if (!success) throw new TypeError(`invalid options of ${options.id}`);
+    this.behaviour = data;
+    this.store = options.store ?? new MemoryKeyStore();
+  }
+
+  /** Starts to listen. */
+  start(): Promise<Address> {
+    return this.endpoint.start(this.options);
+  }
+
+  /** Stops and destroys all connections. */
+  async close(): Promise<void> {
+    await this.endpoint.close();
+    this.options.sink?.close();
+  }
+
+  /** Changes the behaviour; what is not named stays as it is. */
+  set(change: Partial<BackendBehaviour>): void {
+    this.behaviour = {...this.behaviour, ...change};
+  }
+
+  /** Own records in the order in which they arose. */
+  records(): readonly ServerRecord[] {
+    return this.memory.records;
+  }
+
+  /** Loses all connections, the lease and the cache, as a restart does. */
+  crash(): void {
+    this.bootId = randomUUID();
+    this.term = 0;
+    this.lease = null;
+    this.leaseText = '';
+    this.cache = new Map();
+    this.served = 0;
+    this.running = 0;
+    this.slotWaiters.length = 0;
+    const runs = [...this.runs.values()];
+    this.runs.clear();
+    for (const run of runs) run.cancel.abort();
+    this.endpoint.dropConnections();
+  }
+
+  /** Reading of the server's own monotonic clock. */
+  clockMs(): number {
+    const {clockOffsetMs = 0, clockDriftRatio = 0} = this.options;
+    return performance.now() * (1 + clockDriftRatio) + clockOffsetMs;
+  }
+
+  /** What the status call answers. */
+  status(): ServerStatus {
+    const busy = new Map<string, {service: string; shard: number}>();
+    for (const {service, shard} of this.runs.values()) {
+      busy.set(`${service}/${shard}`, {service, shard});
+    }
+    const {reportedLoad, slots, draining} = this.behaviour;
+    return {
+      bootId: this.bootId,
+      clockMs: this.clockMs(),
+      term: this.term,
+      fence: this.lease?.fence ?? null,
+      dispatcher: this.lease?.dispatcher ?? null,
+      busy: [...busy.values()],
+      inFlight: this.runs.size,
+      load: reportedLoad ?? this.runs.size / slots,
+      draining,
+    };
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    expectsContinue: boolean,
+  ): Promise<void> {
+    const path = (request.url ?? '/').split('?')[0]!;
+    if (path === STATUS_PATH) return sendJson(response, 200, this.status());
+    if (path === LEASE_PATH) return this.handleLease(request, response);
+    if (path.startsWith(CANCEL_PATH_PREFIX)) {
+      const id = decodeURIComponent(path.slice(CANCEL_PATH_PREFIX.length));
+      this.runs.get(id)?.cancel.abort();
+      return sendJson(response, 200, {});
+    }
+    if (path === '/control/records') {
+      response.writeHead(200, {'content-type': 'application/x-ndjson'});
+      for (const record of this.memory.records) {
+        response.write(`${JSON.stringify(record)}\n`);
+      }
+      response.end();
+      return;
+    }
+    if (path === '/control') {
+      if (request.method === 'POST') {
+        const change = await readJson(request);
+        this.set(backendBehaviourSchema.partial().parse(change));
+      }
+      return sendJson(response, 200, this.behaviour);
+    }
+    await this.handleRequest(request, response, path, expectsContinue);
+  }
+
+  private async handleLease(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const lease = leaseRequestSchema.parse(await readJson(request));
+    if (lease.term < this.term) return sendJson(response, 409, this.status());
+    this.term = lease.term;
+    this.lease = lease;
+    const text = JSON.stringify({...lease, expiresAtMs: 0});
+    if (text !== this.leaseText) {
+      this.leaseText = text;
+      this.record({
+        kind: 'lease',
+        wallMs: wallMs(),
+        server: this.options.id,
+        bootId: this.bootId,
+        term: lease.term,
+        fence: lease.fence,
+        dispatcher: lease.dispatcher,
+        grants: lease.grants,
+      });
+    }
+    sendJson(response, 200, this.status());
+  }
+
+  private async handleRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    path: string,
+    expectsContinue: boolean,
+  ): Promise<void> {
+    const run = this.describeRun(request, response, path);
+    const refusal = this.refusalOf(run) ?? this.shedReason();
+    if (refusal) return this.refuse(run, refusal);
+    if (this.runs.has(run.requestId)) {
+      return sendJson(response, 400, {error: 'request id in use'});
+    }
+    this.runs.set(run.requestId, run);
+    response.on('close', () => {
+      if (!response.writableEnded) run.cancel.abort();
+    });
+    const deadline = this.armDeadline(run);
+    try {
+      await this.takeSlot(run);
+      try {
+        await this.execute(run, expectsContinue);
+      } finally {
+        this.releaseSlot(run);
+      }
+    } finally {
+      clearTimeout(deadline);
+      if (this.runs.get(run.requestId) === run) this.runs.delete(run.requestId);
+    }
+  }
+
+  private describeRun(
+    request: IncomingMessage,
+    response: ServerResponse,
+    path: string,
+  ): Run {
+    const [service = '', key = ''] = path
+      .split('/')
+      .slice(1)
+      .map(decodeURIComponent);
+    return {
+      request,
+      response,
+      service: headerOf(request, HEADERS.service) ?? service,
+      key: headerOf(request, HEADERS.key) ?? key,
+      shard: Number(headerOf(request, HEADERS.shard) ?? -1),
+      epoch: Number(headerOf(request, HEADERS.epoch) ?? -1),
+      fence: headerOf(request, HEADERS.fence) ?? '',
+      requestId: headerOf(request, HEADERS.requestId) ?? randomUUID(),
+      bootId: this.bootId,
+      cancel: new AbortController(),
+      started: false,
+      expired: false,
+    };
+  }
+
+  /** Why the lease does not cover the request; null when it does. */
+  private refusalOf(run: Run): Reason | null {
+    if (this.options.checksGrants === false) return null;
+    const lease = this.lease;
+    if (!lease || this.clockMs() >= lease.expiresAtMs) return 'lease-expired';
+    if (run.fence !== `${lease.fence.term}.${lease.fence.seq}`) {
+      return 'stale-fence';
+    }
+    const granted = lease.grants.some(
+      grant =>
+        grant.service === run.service &&
+        grant.shard === run.shard &&
+        grant.epoch === run.epoch,
+    );
+    return granted ? null : 'stale-epoch';
+  }
+
+  private shedReason(): Reason | null {
+    const {draining, slots, extraRequests} = this.behaviour;
+    if (draining) return 'server-draining';
+    return this.runs.size >= slots + extraRequests ? 'server-shed' : null;
+  }
+
+  /** Refuses a request; `not-run` only when it never started. */
+  private refuse(run: Run, reason: Reason): void {
+    this.recordRun(run, 'refused', reason);
+    const stale = reason === 'stale-epoch' || reason === 'stale-fence';
+    sendJson(
+      run.response,
+      run.started ? 502 : stale ? 421 : 503,
+      {reason},
+      {
+        [HEADERS.outcome]: run.started ? 'unknown' : 'not-run',
+        [HEADERS.reason]: reason,
+        // The rest of the body is not read, so the connection cannot be used
+        // for another request.
+        ...(run.request.complete ? {} : {connection: 'close'}),
+      },
+    );
+  }
+
+  private armDeadline(run: Run): NodeJS.Timeout | undefined {
+    const deadlineMs = headerOf(run.request, HEADERS.deadlineMs);
+    if (deadlineMs === null) return undefined;
+    return setTimeout(() => {
+      run.expired = true;
+      run.cancel.abort();
+    }, Number(deadlineMs));
+  }
+
+  private async takeSlot(run: Run): Promise<void> {
+    while (
+      this.running >= this.behaviour.slots &&
+      !run.cancel.signal.aborted &&
+      run.bootId === this.bootId
+    ) {
+      await new Promise<void>(resolve => {
+        this.slotWaiters.push(resolve);
+        run.cancel.signal.addEventListener('abort', () => resolve());
+      });
+    }
+    if (run.bootId === this.bootId) this.running++;
+  }
+
+  private releaseSlot(run: Run): void {
+    if (run.bootId !== this.bootId) return;
+    this.running--;
+    for (const wake of this.slotWaiters.splice(0)) wake();
+  }
+
+  private async execute(run: Run, expectsContinue: boolean): Promise<void> {
+    if (this.endIfCancelled(run)) return;
+    const refusal = this.refusalOf(run);
+    if (refusal) return this.refuse(run, refusal);
+    run.started = true;
+    this.recordRun(run, 'started');
+    if (expectsContinue) run.response.writeContinue();
+    if (headerOf(run.request, CRASH_HEADER) === '1') {
+      (this.options.onCrash ?? (() => this.crash()))();
+      return;
+    }
+    const body = await readBody(run);
+    if (body) await sleep(this.drawServiceTimeMs(), run.cancel.signal);
+    if (this.endIfCancelled(run)) return;
+    // The lease may have lapsed while the request ran.
+    const lateRefusal = this.refusalOf(run);
+    if (lateRefusal) return this.refuse(run, lateRefusal);
+    this.answer(run, body!);
+  }
+
+  private endIfCancelled(run: Run): boolean {
+    if (!run.cancel.signal.aborted) return false;
+    // A process that crashed has no part in what follows.
+    if (run.bootId !== this.bootId) return true;
+    this.recordRun(run, 'cancelled', run.expired ? 'deadline-expired' : null);
+    const reason = run.started ? 'answer-timeout' : 'deadline-expired';
+    const info = REASONS[reason];
+    if (!run.response.destroyed && !run.response.headersSent) {
+      const headers: Record<string, string> = {
+        [HEADERS.outcome]: info.outcome,
+        [HEADERS.reason]: reason,
+        connection: 'close',
+      };
+      sendJson(run.response, info.status, {reason}, headers);
+    }
+    return true;
+  }
+
+  private drawServiceTimeMs(): number {
+    const {serviceTimeMs, serviceTimeShape, speed, coldRequests, coldFactor} =
+      this.behaviour;
+    const factor = this.served++ < coldRequests ? coldFactor : 1;
+    const draw =
+      serviceTimeShape === 'fixed' ? 1 : -Math.log(1 - Math.random());
+    return (serviceTimeMs * factor * draw) / speed;
+  }
+
+  /** Takes the effect of a request and answers it, in one event-loop turn. */
+  private answer(run: Run, body: Body): void {
+    const {method} = run.request;
+    if (method === 'GET' || method === 'HEAD') {
+      const value = this.valueOf(run);
+      this.recordRun(run, 'done');
+      run.response.writeHead(200, {
+        'content-type': 'text/plain',
+        'content-length': Buffer.byteLength(value),
+      });
+      run.response.end(method === 'GET' ? value : undefined);
+      return;
+    }
+    if (method === 'PUT') this.put(run, body);
+    if (method === 'POST') this.filings++;
+    this.recordRun(run, 'done');
+    sendJson(run.response, method === 'POST' ? 201 : 200, {
+      server: this.options.id,
+      sizeBytes: body.sizeBytes,
+      sha256: body.sha256,
+      filings: this.filings,
+    });
+  }
+
+  /**
+   * Value of a key. It is loaded once for each epoch and then served from
+   * memory, so a second owner shows as a stale read.
+   */
+  private valueOf(run: Run): string {
+    const id = `${run.service}/${run.key}`;
+    const cached = this.cache.get(id);
+    if (cached && cached.epoch === run.epoch) return cached.value;
+    const value = this.store.load(run.service, run.key) ?? 'v0\n';
+    this.cache.set(id, {epoch: run.epoch, value});
+    return value;
+  }
+
+  private put(run: Run, body: Body): void {
+    const value =
+      body.text ??
+      JSON.stringify({sizeBytes: body.sizeBytes, sha256: body.sha256});
+    // A write with an older version took effect late and changes nothing.
+    if (versionOf(value) < versionOf(this.valueOf(run))) return;
+    this.cache.set(`${run.service}/${run.key}`, {epoch: run.epoch, value});
+    this.store.save(run.service, run.key, value);
+  }
+
+  private recordRun(
+    run: Run,
+    effect: RunRecord['effect'],
+    reason: string | null = null,
+  ): void {
+    this.record({
+      kind: 'run',
+      wallMs: wallMs(),
+      server: this.options.id,
+      bootId: run.bootId,
+      service: run.service,
+      key: run.key,
+      shard: run.shard,
+      epoch: run.epoch,
+      method: run.request.method ?? '',
+      idempotencyKey: headerOf(run.request, HEADERS.idempotencyKey),
+      attemptId: headerOf(run.request, ATTEMPT_HEADER),
+      requestId: run.requestId,
+      effect,
+      reason,
+    });
+  }
+
+  private record(record: ServerRecord): void {
+    this.memory.write(record);
+    this.options.sink?.write(record);
+  }
+}
+
+/** Reads, counts and hashes a body; null when the caller went away. */
+async function readBody(run: Run): Promise<Body | null> {
+  const hash = createHash('sha256');
+  const kept: Buffer[] = [];
+  let sizeBytes = 0;
+  const stop = () => run.request.destroy();
+  run.cancel.signal.addEventListener('abort', stop);
+  try {
+    for await (const chunk of run.request) {
+      const bytes = chunk as Buffer;
+      hash.update(bytes);
+      sizeBytes += bytes.length;
+      if (sizeBytes <= MAX_VALUE_BYTES) kept.push(bytes);
+      else kept.length = 0;
+    }
+  } catch {
+    run.cancel.abort();
+    return null;
+  } finally {
+    run.cancel.signal.removeEventListener('abort', stop);
+  }
+  const text =
+    sizeBytes <= MAX_VALUE_BYTES ? Buffer.concat(kept).toString('utf8') : null;
+  return {sizeBytes, sha256: hash.digest('hex'), text};
+}
--- a/testing/standins/src/index.ts
+++ b/testing/standins/src/index.ts
@@ -3,4 +3,10 @@
  *
  * @packageDocumentation
  */
-export {};
+export * from './backend-server.js';
+export * from './key-store.js';
+export * from './log-service.js';
+export * from './records.js';
+export * from './vm-list.js';
+export {type Address, type ListenOptions} from './utils/http-endpoint.js';
+export {sleep, uuidv7, wallMs} from './utils/time.js';
--- /dev/null
+++ b/testing/standins/src/log-service.ts
@@ -0,0 +1,310 @@
+/** Stand-in for the platform's append-only log service. */
+import {setMaxListeners} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {z} from 'zod';
+import type {StoredRecord} from '@wisteriarun/core';
+import {
+  HttpEndpoint,
+  headerOf,
+  readJson,
+  sendJson,
+  type Address,
+  type ListenOptions,
+} from './utils/http-endpoint.js';
+import {sleep} from './utils/time.js';
+
+/** Header by which the faults of one client are switched. */
+export const CLIENT_HEADER = 'x-wisteriarun-client';
+
+const MAX_LIMIT = 1_000;
+const MAX_WAIT_MS = 30_000;
+
+/** Faults of the log service; a change names only what it switches. */
+export const logFaultsSchema = z.strictObject({
+  outage: z.boolean(),
+  slowMs: z.number().min(0),
+  /** Number of appends whose record is stored but not acknowledged. */
+  loseAnswers: z.int().min(0),
+  /** Clients that see an outage, by `x-wisteriarun-client`. */
+  clientOutages: z.array(z.string()),
+  /** Appends accepted per second; null for no limit. */
+  appendsPerSecond: z.number().positive().nullable(),
+  retainCount: z.int().min(1).nullable(),
+  retainAgeMs: z.number().positive().nullable(),
+});
+export type LogFaults = z.infer<typeof logFaultsSchema>;
+
+/** Options of the log service. */
+export interface LogServiceOptions
+  extends ListenOptions, Readonly<Partial<LogFaults>> {}
+
+/** Counters of the log service. */
+export interface LogCounters {
+  /** Stored appends per record kind. */
+  readonly appends: Readonly<Record<string, number>>;
+  readonly appendsRefused: number;
+  readonly answersLost: number;
+  readonly reads: number;
+  readonly readsRefused: number;
+}
+
+interface Entry extends StoredRecord {
+  readonly storedAtMs: number;
+}
+
+interface Stream {
+  entries: Entry[];
+  nextOffset: number;
+  readonly waiters: Set<() => void>;
+}
+
+/** Log service in memory, with faults that can be switched at run time. */
+export class LogService {
+  private readonly endpoint = new HttpEndpoint((request, response) =>
+    this.handle(request, response),
+  );
+  private readonly streams = new Map<string, Stream>();
+  private readonly appends: Record<string, number> = {};
+  private appendsRefused = 0;
+  private answersLost = 0;
+  private reads = 0;
+  private readsRefused = 0;
+  private appendTimesMs: number[] = [];
+  private readonly closing = new AbortController();
+  private faults: LogFaults;
+
+  constructor(private readonly options: LogServiceOptions = {}) {
+    // Every delayed or waiting request waits on this signal.
+    setMaxListeners(0, this.closing.signal);
+    this.faults = {
+      outage: options.outage ?? false,
+      slowMs: options.slowMs ?? 0,
+      loseAnswers: options.loseAnswers ?? 0,
+      clientOutages: options.clientOutages ?? [],
+      appendsPerSecond: options.appendsPerSecond ?? null,
+      retainCount: options.retainCount ?? null,
+      retainAgeMs: options.retainAgeMs ?? null,
+    };
+  }
+
+  /** Starts to listen. */
+  start(): Promise<Address> {
+    return this.endpoint.start(this.options);
+  }
+
+  /** Stops; the records are lost. */
+  async close(): Promise<void> {
+    this.closing.abort();
+    for (const stream of this.streams.values()) this.wake(stream);
+    await this.endpoint.close();
+  }
+
+  /** Switches faults; those not named stay as they are. */
+  setFaults(change: Partial<LogFaults>): void {
+    this.faults = {...this.faults, ...change};
+    for (const stream of this.streams.values()) this.wake(stream);
+  }
+
+  /** Faults in force. */
+  currentFaults(): LogFaults {
+    return this.faults;
+  }
+
+  /** Counters since the start. */
+  counters(): LogCounters {
+    return {
+      appends: {...this.appends},
+      appendsRefused: this.appendsRefused,
+      answersLost: this.answersLost,
+      reads: this.reads,
+      readsRefused: this.readsRefused,
+    };
+  }
+
+  /** Retained records of a stream. */
+  records(name: string): readonly StoredRecord[] {
+    const stream = this.stream(name);
+    this.expire(stream);
+    return stream.entries.map(({offset, record}) => ({offset, record}));
+  }
+
+  /**
+   * Stores a record without the HTTP interface and its faults.
+   *
+   * @returns The offset of the record.
+   */
+  append(name: string, record: unknown): number {
+    const stream = this.stream(name);
+    const offset = stream.nextOffset++;
+    stream.entries.push({offset, record, storedAtMs: performance.now()});
+    const kind = kindOf(record);
+    this.appends[kind] = (this.appends[kind] ?? 0) + 1;
+    this.expire(stream);
+    this.wake(stream);
+    return offset;
+  }
+
+  private stream(name: string): Stream {
+    let stream = this.streams.get(name);
+    if (!stream) {
+      stream = {entries: [], nextOffset: 1, waiters: new Set()};
+      this.streams.set(name, stream);
+    }
+    return stream;
+  }
+
+  private wake(stream: Stream): void {
+    for (const waiter of [...stream.waiters]) waiter();
+  }
+
+  private expire(stream: Stream): void {
+    const {retainCount, retainAgeMs} = this.faults;
+    if (retainCount !== null && stream.entries.length > retainCount) {
+      stream.entries = stream.entries.slice(-retainCount);
+    }
+    if (retainAgeMs !== null) {
+      const oldestMs = performance.now() - retainAgeMs;
+      stream.entries = stream.entries.filter(e => e.storedAtMs >= oldestMs);
+    }
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://localhost');
+    if (url.pathname === '/control') {
+      return this.handleControl(request, response);
+    }
+    const match = /^\/streams\/([^/]+)\/records$/.exec(url.pathname);
+    if (!match) return sendJson(response, 404, {error: 'unknown path'});
+    const name = decodeURIComponent(match[1]!);
+    if (request.method === 'POST') {
+      return this.handleAppend(name, request, response);
+    }
+    if (request.method === 'GET') {
+      return this.handleRead(name, url, request, response);
+    }
+    sendJson(response, 405, {error: 'unknown method'});
+  }
+
+  private async handleControl(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.method === 'POST') {
+      this.setFaults(logFaultsSchema.partial().parse(await readJson(request)));
+    }
+    sendJson(response, 200, {
+      faults: this.faults,
+      counters: this.counters(),
+    });
+  }
+
+  private isDownFor(request: IncomingMessage): boolean {
+    const client = headerOf(request, CLIENT_HEADER);
+    return (
+      this.faults.outage ||
+      (client !== null && this.faults.clientOutages.includes(client))
+    );
+  }
+
+  private async handleAppend(
+    name: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readJson(request)) as {record?: unknown};
+    await sleep(this.faults.slowMs, this.closing.signal);
+    if (this.isDownFor(request)) {
+      this.appendsRefused++;
+      return sendJson(response, 503, {error: 'outage'});
+    }
+    if (typeof body.record !== 'object' || body.record === null) {
+      return sendJson(response, 400, {error: 'record missing'});
+    }
+    if (!this.takeAppend()) {
+      this.appendsRefused++;
+      return sendJson(response, 429, {error: 'rate'}, {'retry-after': '1'});
+    }
+    const offset = this.append(name, body.record);
+    if (this.faults.loseAnswers > 0) {
+      this.faults = {
+        ...this.faults,
+        loseAnswers: this.faults.loseAnswers - 1,
+      };
+      this.answersLost++;
+      request.socket.destroy();
+      return;
+    }
+    sendJson(response, 201, {offset});
+  }
+
+  private takeAppend(): boolean {
+    const limit = this.faults.appendsPerSecond;
+    if (limit === null) return true;
+    const nowMs = performance.now();
+    this.appendTimesMs = this.appendTimesMs.filter(at => at > nowMs - 1_000);
+    if (this.appendTimesMs.length >= limit) return false;
+    this.appendTimesMs.push(nowMs);
+    return true;
+  }
+
+  private async handleRead(
+    name: string,
+    url: URL,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const from = numberOf(url, 'from', 1);
+    const limit = Math.min(numberOf(url, 'limit', 100), MAX_LIMIT);
+    const waitMs = Math.min(numberOf(url, 'waitMs', 0), MAX_WAIT_MS);
+    const stream = this.stream(name);
+    await sleep(this.faults.slowMs, this.closing.signal);
+    if (waitMs > 0 && from >= stream.nextOffset && !this.isDownFor(request)) {
+      await this.waitForRecord(stream, waitMs, response);
+    }
+    // An outage that begins during the wait fails the read as well.
+    if (this.isDownFor(request)) {
+      this.readsRefused++;
+      return sendJson(response, 503, {error: 'outage'});
+    }
+    this.reads++;
+    this.expire(stream);
+    const first = stream.entries[0]?.offset ?? stream.nextOffset;
+    if (from < first) return sendJson(response, 410, {first});
+    const records = stream.entries
+      .slice(from - first, from - first + limit)
+      .map(({offset, record}) => ({offset, record}));
+    const next = records.at(-1)?.offset;
+    sendJson(response, 200, {
+      first,
+      next: next === undefined ? Math.min(from, stream.nextOffset) : next + 1,
+      records,
+    });
+  }
+
+  private async waitForRecord(
+    stream: Stream,
+    waitMs: number,
+    response: ServerResponse,
+  ): Promise<void> {
+    const woken = new AbortController();
+    const wake = () => woken.abort();
+    stream.waiters.add(wake);
+    response.on('close', wake);
+    await sleep(waitMs, woken.signal);
+    stream.waiters.delete(wake);
+    response.off('close', wake);
+  }
+}
+
+function kindOf(record: unknown): string {
+  const kind = (record as {kind?: unknown} | null)?.kind;
+  return typeof kind === 'string' ? kind : 'other';
+}
+
+function numberOf(url: URL, name: string, fallback: number): number {
+  const value = Number(url.searchParams.get(name) ?? fallback);
+  return Number.isInteger(value) && value >= 0 ? value : fallback;
+}
--- /dev/null
+++ b/testing/standins/test/backend-server.test.ts
@@ -0,0 +1,307 @@
+import * as http from 'node:http';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {fileURLToPath} from 'node:url';
+import {request as sendOnce} from 'undici';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+  BackendServer,
+  MemoryKeyStore,
+  readRecordFile,
+  sleep,
+  type Address,
+  type BackendServerOptions,
+  type RunRecord,
+} from '@wisteriarun/standins';
+
+const open: BackendServer[] = [];
+
+async function startServer(options: Partial<BackendServerOptions> = {}) {
+  const server = new BackendServer({id: 's1', serviceTimeMs: 1, ...options});
+  open.push(server);
+  return {server, url: urlOf(await server.start())};
+}
+
+const urlOf = ({host, port}: Address) => `http://${host}:${port}`;
+
+async function grant(url: string, change: Record<string, unknown> = {}) {
+  const status = (await (await fetch(`${url}/wisteriarun/status`)).json()) as {
+    clockMs: number;
+  };
+  return fetch(`${url}/wisteriarun/lease`, {
+    method: 'PUT',
+    body: JSON.stringify({
+      zone: 'a',
+      term: 5,
+      fence: {term: 5, seq: 1},
+      dispatcher: 'e1',
+      expiresAtMs: status.clockMs + 1_200,
+      grants: [{service: 'orders', shard: 3, epoch: 10}],
+      ...change,
+    }),
+  });
+}
+
+const HEADERS = {
+  'wisteriarun-service': 'orders',
+  'wisteriarun-shard': '3',
+  'wisteriarun-epoch': '10',
+  'wisteriarun-fence': '5.1',
+};
+
+const send = (url: string, init: RequestInit = {}) =>
+  fetch(`${url}/orders/k`, {
+    ...init,
+    headers: {...HEADERS, ...(init.headers as Record<string, string>)},
+  });
+
+const effects = (server: BackendServer) =>
+  server
+    .records()
+    .filter((record): record is RunRecord => record.kind === 'run')
+    .map(record => record.effect);
+
+afterEach(async () => {
+  await Promise.all(open.splice(0).map(server => server.close()));
+});
+
+describe('backend server: lease', () => {
+  it('refuses an older term with the one it has seen', async () => {
+    const {url} = await startServer();
+    expect((await grant(url)).status).toBe(200);
+    const refused = await grant(url, {term: 4});
+    expect(refused.status).toBe(409);
+    expect(await refused.json()).toMatchObject({term: 5});
+  });
+
+  it.each([
+    ['stale epoch', {}, {'wisteriarun-epoch': '9'}, 421, 'stale-epoch'],
+    ['other shard', {}, {'wisteriarun-shard': '4'}, 421, 'stale-epoch'],
+    ['stale fence', {}, {'wisteriarun-fence': '5.0'}, 421, 'stale-fence'],
+    ['expired lease', {expiresAtMs: 0}, {}, 503, 'lease-expired'],
+  ])('refuses before the start: %s', async (_, lease, headers, status, why) => {
+    const {server, url} = await startServer();
+    await grant(url, lease);
+    // `fetch` repeats a request that was answered with 421.
+    const response = await sendOnce(`${url}/orders/k`, {
+      headers: {...HEADERS, ...headers},
+    });
+    expect(response.statusCode).toBe(status);
+    expect(response.headers['wisteriarun-outcome']).toBe('not-run');
+    expect(response.headers['wisteriarun-reason']).toBe(why);
+    expect(effects(server)).toEqual(['refused']);
+  });
+
+  it('refuses the effect when the lease lapsed while the request ran', async () => {
+    const {server, url} = await startServer({
+      serviceTimeMs: 80,
+      serviceTimeShape: 'fixed',
+    });
+    await grant(url, {expiresAtMs: server.clockMs() + 50});
+    const response = await send(url, {method: 'POST'});
+    // It started, so it must not be reported as not run.
+    expect(response.headers.get('wisteriarun-outcome')).toBe('unknown');
+    expect(effects(server)).toEqual(['started', 'refused']);
+  });
+
+  it('keeps the lease on its own clock with offset and drift', async () => {
+    const {server, url} = await startServer({
+      clockOffsetMs: -1e9,
+      clockDriftRatio: 0.01,
+    });
+    expect(server.clockMs()).toBeLessThan(0);
+    await grant(url);
+    expect((await send(url)).status).toBe(200);
+  });
+
+  it('runs anything when it does not check', async () => {
+    const {url} = await startServer({checksGrants: false});
+    expect((await send(url)).status).toBe(200);
+  });
+});
+
+describe('backend server: requests', () => {
+  it('sheds beyond its slots and drains', async () => {
+    const {server, url} = await startServer({
+      slots: 1,
+      serviceTimeMs: 100,
+      serviceTimeShape: 'fixed',
+    });
+    await grant(url);
+    const first = send(url);
+    await sleep(40);
+    expect(server.status()).toMatchObject({
+      inFlight: 1,
+      busy: [{service: 'orders', shard: 3}],
+    });
+    const shed = await send(url);
+    expect(shed.status).toBe(503);
+    expect(shed.headers.get('wisteriarun-reason')).toBe('server-shed');
+    server.set({draining: true});
+    expect((await first).status).toBe(200);
+    const drained = await send(url);
+    expect(drained.headers.get('wisteriarun-reason')).toBe('server-draining');
+  });
+
+  it('lets extra requests wait for a slot', async () => {
+    const {server, url} = await startServer({slots: 1, extraRequests: 1});
+    await grant(url);
+    const answers = await Promise.all([send(url), send(url)]);
+    expect(answers.map(answer => answer.status)).toEqual([200, 200]);
+    expect(effects(server)).toEqual(['started', 'done', 'started', 'done']);
+  });
+
+  it('stores writes beyond the life of a server', async () => {
+    const store = new MemoryKeyStore();
+    const {server, url} = await startServer({store});
+    await grant(url);
+    await send(url, {method: 'PUT', body: 'v2\n'});
+    await send(url, {method: 'PUT', body: 'v1\n'});
+    expect(await (await send(url)).text()).toBe('v2\n');
+    server.crash();
+    // The client has to notice that its idle connections are gone.
+    await sleep(20);
+    await grant(url);
+    expect(await (await send(url)).text()).toBe('v2\n');
+  });
+
+  it('counts and hashes a body that is too large to keep', async () => {
+    const {url} = await startServer();
+    await grant(url);
+    const put = await send(url, {method: 'PUT', body: 'x'.repeat(100_000)});
+    const answer = (await put.json()) as {sizeBytes: number; sha256: string};
+    expect(answer.sizeBytes).toBe(100_000);
+    expect(await (await send(url)).json()).toEqual({
+      sizeBytes: 100_000,
+      sha256: answer.sha256,
+    });
+  });
+
+  it.each(['closed connection', 'DELETE', 'deadline'])(
+    'cancels before the effect: %s',
+    async how => {
+      const {server, url} = await startServer({
+        serviceTimeMs: 5_000,
+        serviceTimeShape: 'fixed',
+      });
+      await grant(url, {expiresAtMs: server.clockMs() + 60_000});
+      const abort = new AbortController();
+      const answer = send(url, {
+        method: 'POST',
+        signal: abort.signal,
+        headers: {
+          'wisteriarun-request-id': 'r1',
+          ...(how === 'deadline' ? {'wisteriarun-deadline-ms': '60'} : {}),
+        },
+      }).catch(() => null);
+      await sleep(40);
+      if (how === 'closed connection') abort.abort();
+      if (how === 'DELETE') {
+        await fetch(`${url}/wisteriarun/requests/r1`, {method: 'DELETE'});
+      }
+      const response = await answer;
+      await sleep(40);
+      expect(response?.headers.get('wisteriarun-outcome') ?? null).toBe(
+        how === 'closed connection' ? null : 'unknown',
+      );
+      expect(effects(server)).toEqual(['started', 'cancelled']);
+      expect(server.status().inFlight).toBe(0);
+    },
+  );
+
+  it('loses its lease and all connections in a crash', async () => {
+    const {server, url} = await startServer({serviceTimeMs: 500});
+    await grant(url);
+    const {bootId} = server.status();
+    const bystander = send(url).catch(() => 'lost');
+    await sleep(20);
+    const marked = send(url, {headers: {'x-standin-crash': '1'}});
+    await expect(marked).rejects.toThrow();
+    expect(await bystander).toBe('lost');
+    expect(server.status()).toMatchObject({term: 0, inFlight: 0});
+    expect(server.status().bootId).not.toBe(bootId);
+    expect(effects(server)).toEqual(['started', 'started']);
+  });
+
+  it('sends 100 only to a request that it runs', async () => {
+    const {url} = await startServer();
+    const answers = async () => {
+      const request = http.request(`${url}/orders/k`, {
+        method: 'PUT',
+        headers: {...HEADERS, expect: '100-continue', 'content-length': 3},
+      });
+      request.flushHeaders();
+      let continued = false;
+      request.on('continue', () => {
+        continued = true;
+        request.end('v1\n');
+      });
+      request.on('error', () => {});
+      const [response] = (await once(request, 'response')) as [
+        http.IncomingMessage,
+      ];
+      response.resume();
+      return {continued, status: response.statusCode};
+    };
+    expect(await answers()).toEqual({continued: false, status: 503});
+    await grant(url);
+    expect(await answers()).toEqual({continued: true, status: 200});
+  });
+
+  it('reports a load of choice and slow first requests', async () => {
+    const {server, url} = await startServer({
+      reportedLoad: 0.01,
+      serviceTimeMs: 10,
+      serviceTimeShape: 'fixed',
+      coldRequests: 1,
+      coldFactor: 10,
+    });
+    await grant(url);
+    const timeOf = async () => {
+      const startMs = performance.now();
+      await send(url);
+      return performance.now() - startMs;
+    };
+    expect(await timeOf()).toBeGreaterThan(90);
+    expect(await timeOf()).toBeLessThan(90);
+    expect(server.status().load).toBe(0.01);
+  });
+});
+
+describe('backend server: process', () => {
+  it('keeps its records when it is killed by a marked request', async () => {
+    const directory = mkdtempSync(join(tmpdir(), 'wisteriarun-test-'));
+    const recordFile = join(directory, 'records');
+    const main = fileURLToPath(
+      new URL('../dist/backend-server-main.js', import.meta.url),
+    );
+    const child = spawn(
+      process.execPath,
+      [main, '--id', 's1', '--no-checks', '--record-file', recordFile],
+      {stdio: ['ignore', 'pipe', 'inherit']},
+    );
+    try {
+      const [line] = (await once(child.stdout, 'data')) as [Buffer];
+      const match = /^ready host=(\S+) port=(\d+)\n$/.exec(line.toString())!;
+      const url = `http://${match[1]}:${match[2]}`;
+      expect((await send(url, {method: 'POST'})).status).toBe(201);
+      const exit = once(child, 'exit');
+      await expect(
+        send(url, {headers: {'x-standin-crash': '1'}}),
+      ).rejects.toThrow();
+      expect((await exit)[1]).toBe('SIGKILL');
+      const runs = readRecordFile(recordFile) as RunRecord[];
+      expect(runs.map(run => run.effect)).toEqual([
+        'started',
+        'done',
+        'started',
+      ]);
+    } finally {
+      child.kill('SIGKILL');
+      rmSync(directory, {recursive: true});
+    }
+  });
+});
