Add mixed HTTP load and a checker of the promises

Cause: broken promises have to be found from the records of servers and callers, not from what the router says about itself. Ruled out: matching not-run reports by idempotency key alone, which says nothing about reads and writes; each try carries an id of its own as well. The checker finds double runs, double owners, lost filings, not-run requests that ran, stale reads and broken checksums, and measures imbalance and churn.

--- /dev/null
+++ b/testing/standins/src/checker.ts
@@ -0,0 +1,381 @@
+/** Checks promises against the records of servers and callers. */
+import type {Attempt} from './attempts.js';
+import {isAcknowledged} from './attempts.js';
+import type {LeaseRecord, RunRecord, ServerRecord} from './records.js';
+
+/** A promise that the records show to be broken. */
+export interface Violation {
+  readonly kind:
+    | 'double-run'
+    | 'double-owner'
+    | 'lost-filing'
+    | 'not-run-ran'
+    | 'stale-read'
+    | 'broken-checksum';
+  /** What the violation is about: a key, a shard or an idempotency key. */
+  readonly subject: string;
+  readonly detail: string;
+}
+
+/** What the checker reads. */
+export interface History {
+  readonly records: readonly ServerRecord[];
+  readonly attempts: readonly Attempt[];
+}
+
+/** Time in which one server accepted work of a shard at one epoch. */
+interface Tenure {
+  readonly shard: string;
+  readonly server: string;
+  readonly epoch: number;
+  readonly firstMs: number;
+  readonly lastMs: number;
+}
+
+/**
+ * Finds all broken promises in a history.
+ *
+ * @param history - Records of all servers and attempts of all callers.
+ * @returns The violations; empty when all promises were kept.
+ */
+export function check(history: History): Violation[] {
+  const runs = runsOf(history.records);
+  return [
+    ...findDoubleRuns(runs),
+    ...findDoubleOwners(runs),
+    ...findLostFilings(runs, history.attempts),
+    ...findNotRunThatRan(runs, history.attempts),
+    ...findStaleReads(history.attempts),
+    ...findBrokenChecksums(history.attempts),
+  ];
+}
+
+/** Requests that may not be repeated and took effect more than once. */
+export function findDoubleRuns(runs: readonly RunRecord[]): Violation[] {
+  const done = runs.filter(
+    run =>
+      run.effect === 'done' &&
+      run.idempotencyKey !== null &&
+      (run.method === 'POST' || run.method === 'PATCH'),
+  );
+  return [...groupBy(done, run => run.idempotencyKey!)]
+    .filter(([, group]) => group.length > 1)
+    .map(([subject, group]) => ({
+      kind: 'double-run',
+      subject,
+      detail: group.map(run => `${run.server}@${run.wallMs}`).join(' '),
+    }));
+}
+
+/**
+ * Shards on which two servers accepted work at overlapping times, or on which
+ * a later accept had a smaller epoch. Work is accepted at its start and again
+ * when it takes effect; a start that was refused or cancelled before its
+ * effect counts at the time of the start only.
+ */
+export function findDoubleOwners(runs: readonly RunRecord[]): Violation[] {
+  const violations: Violation[] = [];
+  const byShard = groupBy(tenuresOf(runs), tenure => tenure.shard);
+  for (const [subject, tenures] of byShard) {
+    tenures.sort((a, b) => a.firstMs - b.firstMs);
+    for (const [index, tenure] of tenures.entries()) {
+      const rival = tenures
+        .slice(0, index)
+        .find(earlier => contradicts(earlier, tenure));
+      if (!rival) continue;
+      const detail = `${describe(rival)} ${describe(tenure)}`;
+      violations.push({kind: 'double-owner', subject, detail});
+    }
+  }
+  return violations;
+}
+
+/** Whether two tenures of a shard, in the order of their starts, conflict. */
+function contradicts(earlier: Tenure, later: Tenure): boolean {
+  if (later.epoch < earlier.epoch) return true;
+  if (later.server === earlier.server) return false;
+  return later.epoch === earlier.epoch || later.firstMs <= earlier.lastMs;
+}
+
+/** Filings that were acknowledged and took no effect anywhere. */
+export function findLostFilings(
+  runs: readonly RunRecord[],
+  attempts: readonly Attempt[],
+): Violation[] {
+  const done = new Set(
+    runs.filter(run => run.effect === 'done').map(run => run.idempotencyKey),
+  );
+  return attempts
+    .filter(
+      attempt =>
+        attempt.operation === 'post' &&
+        isAcknowledged(attempt) &&
+        !done.has(attempt.idempotencyKey),
+    )
+    .map(attempt => ({
+      kind: 'lost-filing',
+      subject: attempt.idempotencyKey ?? attempt.attemptId,
+      detail: `acknowledged through ${attempt.entry}`,
+    }));
+}
+
+/**
+ * Attempts reported as not run that a server started. Attempts are matched by
+ * the caller's id. Filings are matched by their idempotency key as well, for
+ * servers that do not see the id: as long as all tries of a filing were
+ * reported as not run, no server may have started it up to the latest report.
+ */
+export function findNotRunThatRan(
+  runs: readonly RunRecord[],
+  attempts: readonly Attempt[],
+): Violation[] {
+  const ran = runs.filter(
+    run => run.effect === 'started' || run.effect === 'done',
+  );
+  const byAttempt = groupBy(ran, run => run.attemptId);
+  const byFiling = groupBy(ran, run => run.idempotencyKey);
+  const found = new Map<string, Violation>();
+  const report = (attempt: Attempt, run: RunRecord) =>
+    found.set(attempt.attemptId, {
+      kind: 'not-run-ran',
+      subject: attempt.idempotencyKey ?? attempt.attemptId,
+      detail: `${run.effect} at ${run.server}, reason ${attempt.reason}`,
+    });
+  for (const attempt of attempts) {
+    if (attempt.outcome !== 'not-run') continue;
+    const run = byAttempt.get(attempt.attemptId)?.[0];
+    if (run) report(attempt, run);
+  }
+  const filings = attempts.filter(attempt => attempt.idempotencyKey !== null);
+  for (const [id, tries] of groupBy(filings, a => a.idempotencyKey!)) {
+    const doubtful = tries.find(a => a.outcome !== 'not-run');
+    const untilMs = doubtful?.startMs ?? Infinity;
+    const last = tries.findLast(
+      a => a.outcome === 'not-run' && a.endMs <= untilMs,
+    );
+    const run = byFiling.get(id)?.find(({wallMs}) => wallMs < untilMs);
+    if (last && run) report(last, run);
+  }
+  return [...found.values()];
+}
+
+/** Reads older than a write that was acknowledged before the read began. */
+export function findStaleReads(attempts: readonly Attempt[]): Violation[] {
+  const violations: Violation[] = [];
+  const versioned = attempts.filter(
+    attempt => attempt.version !== null && isAcknowledged(attempt),
+  );
+  const byKey = groupBy(versioned, a => `${a.service}/${a.key}`);
+  for (const [subject, group] of byKey) {
+    const writes = group
+      .filter(attempt => attempt.operation === 'put')
+      .sort((a, b) => a.endMs - b.endMs);
+    const reads = group
+      .filter(a => a.operation === 'get' || a.operation === 'probe')
+      .sort((a, b) => a.startMs - b.startMs);
+    let newest = 0;
+    let next = 0;
+    for (const read of reads) {
+      while (next < writes.length && writes[next]!.endMs < read.startMs) {
+        newest = Math.max(newest, writes[next++]!.version!);
+      }
+      if (read.version! >= newest) continue;
+      violations.push({
+        kind: 'stale-read',
+        subject,
+        detail: `read v${read.version}, acknowledged v${newest}`,
+      });
+    }
+  }
+  return violations;
+}
+
+/** Bodies that arrived with another checksum than the caller's. */
+export function findBrokenChecksums(attempts: readonly Attempt[]): Violation[] {
+  return attempts
+    .filter(attempt => attempt.checksumOk === false)
+    .map(attempt => ({
+      kind: 'broken-checksum',
+      subject: `${attempt.service}/${attempt.key}`,
+      detail: `${attempt.operation} through ${attempt.entry}`,
+    }));
+}
+
+/** Imbalance of one window. */
+export interface ImbalanceWindow {
+  readonly fromMs: number;
+  /** Largest utilisation of a server over the mean of all servers. */
+  readonly ratio: number;
+}
+
+/** A server whose load counts towards the imbalance. */
+export interface MeasuredServer {
+  readonly id: string;
+  readonly slots: number;
+  /** Time from which the server is gone, if any. */
+  readonly goneAtMs?: number;
+}
+
+/**
+ * Largest busy time per slot of a server over the mean, for each window.
+ *
+ * @param records - Records of all servers.
+ * @param servers - Servers of one service; those without work count as idle.
+ * @param windowMs - Length of a window.
+ * @returns One value per window that has any load.
+ */
+export function measureImbalance(
+  records: readonly ServerRecord[],
+  servers: readonly MeasuredServer[],
+  windowMs = 1_000,
+): ImbalanceWindow[] {
+  const ids = new Set(servers.map(server => server.id));
+  const spans = busySpans(runsOf(records).filter(run => ids.has(run.server)));
+  if (spans.length === 0) return [];
+  const startMs = spans.reduce((ms, s) => Math.min(ms, s.fromMs), Infinity);
+  const endMs = spans.reduce((ms, s) => Math.max(ms, s.toMs), 0);
+  const count = Math.floor((endMs - startMs) / windowMs);
+  const busyMs = sumBusyMs(spans, startMs, windowMs);
+  const windows: ImbalanceWindow[] = [];
+  for (let index = 0; index < count; index++) {
+    const fromMs = startMs + index * windowMs;
+    const loads = servers
+      .filter(server => (server.goneAtMs ?? Infinity) >= fromMs + windowMs)
+      .map(({id, slots}) => (busyMs.get(id)?.get(index) ?? 0) / slots);
+    const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+    if (mean > 0) windows.push({fromMs, ratio: Math.max(...loads) / mean});
+  }
+  return windows;
+}
+
+/** Busy time of each server in each window, by the window's index. */
+function sumBusyMs(
+  spans: readonly Span[],
+  startMs: number,
+  windowMs: number,
+): Map<string, Map<number, number>> {
+  const sums = new Map<string, Map<number, number>>();
+  for (const {server, fromMs, toMs} of spans) {
+    const windows = sums.get(server) ?? new Map<number, number>();
+    sums.set(server, windows);
+    let index = Math.floor((fromMs - startMs) / windowMs);
+    for (let atMs = fromMs; atMs < toMs; index++) {
+      const endMs = Math.min(toMs, startMs + (index + 1) * windowMs);
+      windows.set(index, (windows.get(index) ?? 0) + endMs - atMs);
+      atMs = endMs;
+    }
+  }
+  return sums;
+}
+
+/** Moves of shards between servers. */
+export interface Churn {
+  /** Changes of a shard's server; the first assignment does not count. */
+  readonly moved: number;
+  /** Shards that the given losses force to move. */
+  readonly fewest: number;
+  /** `moved / fewest`; null when nothing had to move. */
+  readonly ratio: number | null;
+}
+
+/**
+ * Counts moves of shards from the servers' leases.
+ *
+ * @param records - Records of all servers.
+ * @param losses - Servers that were lost, with the time of each loss.
+ */
+export function measureChurn(
+  records: readonly ServerRecord[],
+  losses: readonly {readonly server: string; readonly atMs: number}[],
+): Churn {
+  const leases = records
+    .filter((record): record is LeaseRecord => record.kind === 'lease')
+    .sort((a, b) => a.wallMs - b.wallMs);
+  const owners = new Map<string, {server: string; epoch: number}>();
+  const pending = [...losses].sort((a, b) => a.atMs - b.atMs);
+  let moved = 0;
+  let fewest = 0;
+  const applyLosses = (untilMs: number) => {
+    while (pending.length > 0 && pending[0]!.atMs <= untilMs) {
+      const {server} = pending.shift()!;
+      for (const owner of owners.values()) {
+        if (owner.server === server) fewest++;
+      }
+    }
+  };
+  for (const lease of leases) {
+    applyLosses(lease.wallMs);
+    for (const {service, shard, epoch} of lease.grants) {
+      const id = `${service}/${shard}`;
+      const owner = owners.get(id);
+      // A late lease with an older epoch is not a move.
+      if (owner && owner.epoch >= epoch) continue;
+      if (owner && owner.server !== lease.server) moved++;
+      owners.set(id, {server: lease.server, epoch});
+    }
+  }
+  applyLosses(Infinity);
+  return {moved, fewest, ratio: fewest === 0 ? null : moved / fewest};
+}
+
+/** Runs among records, in the order of their times. */
+export function runsOf(records: readonly ServerRecord[]): RunRecord[] {
+  return records
+    .filter((record): record is RunRecord => record.kind === 'run')
+    .sort((a, b) => a.wallMs - b.wallMs);
+}
+
+function tenuresOf(runs: readonly RunRecord[]): Tenure[] {
+  const accepted = runs.filter(
+    run => run.effect === 'started' || run.effect === 'done',
+  );
+  const groups = groupBy(accepted, run =>
+    [run.service, run.shard, run.server, run.epoch].join('/'),
+  );
+  return [...groups.values()].map(group => ({
+    shard: `${group[0]!.service}/${group[0]!.shard}`,
+    server: group[0]!.server,
+    epoch: group[0]!.epoch,
+    // The runs are in the order of their times.
+    firstMs: group[0]!.wallMs,
+    lastMs: group.at(-1)!.wallMs,
+  }));
+}
+
+function describe({server, epoch, firstMs, lastMs}: Tenure): string {
+  return `${server} epoch ${epoch} ${firstMs.toFixed(1)}..${lastMs.toFixed(1)}`;
+}
+
+interface Span {
+  readonly server: string;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+function busySpans(runs: readonly RunRecord[]): Span[] {
+  const started = new Map<string, number>();
+  const spans: Span[] = [];
+  for (const run of runs) {
+    const id = `${run.server}/${run.bootId}/${run.requestId}`;
+    if (run.effect === 'started') {
+      started.set(id, run.wallMs);
+      continue;
+    }
+    const fromMs = started.get(id);
+    if (fromMs === undefined) continue;
+    started.delete(id);
+    spans.push({server: run.server, fromMs, toMs: run.wallMs});
+  }
+  return spans;
+}
+
+function groupBy<T, K>(items: Iterable<T>, keyOf: (item: T) => K): Map<K, T[]> {
+  const groups = new Map<K, T[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+}
--- a/testing/standins/src/index.ts
+++ b/testing/standins/src/index.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 export * from './backend-server.js';
+export * from './caller-load.js';
+export * from './checker.js';
 export * from './key-store.js';
 export * from './log-service.js';
 export * from './records.js';
--- /dev/null
+++ b/testing/standins/test/caller-load.test.ts
@@ -0,0 +1,181 @@
+import * as http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+  BackendServer,
+  CallerLoad,
+  check,
+  sleep,
+  type CallerLoadOptions,
+} from '@wisteriarun/standins';
+
+const closers: (() => Promise<unknown>)[] = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+type Fault = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => boolean;
+
+/** Entry that forwards everything to one server that does not check. */
+async function startEntry(port: number, fault: Fault = () => false) {
+  const entry = http.createServer((request, response) => {
+    const {url, method, headers} = request;
+    if (method === 'GET' && fault(request, response)) return;
+    const forward = http.request(
+      {port, host: '127.0.0.1', path: url, method, headers},
+      answer => {
+        if (method !== 'GET' && fault(request, response)) {
+          answer.resume();
+          return;
+        }
+        response.writeHead(answer.statusCode!, {
+          ...answer.headers,
+          'wisteriarun-outcome': 'answered',
+        });
+        answer.pipe(response);
+      },
+    );
+    request.pipe(forward);
+  });
+  await new Promise<void>(resolve => entry.listen(0, '127.0.0.1', resolve));
+  closers.push(async () => {
+    entry.closeAllConnections();
+    entry.close();
+  });
+  return `127.0.0.1:${(entry.address() as AddressInfo).port}`;
+}
+
+async function startServer() {
+  const server = new BackendServer({
+    id: 's1',
+    checksGrants: false,
+    slots: 64,
+    serviceTimeMs: 1,
+  });
+  closers.push(() => server.close());
+  return {server, port: (await server.start()).port};
+}
+
+const options = (entries: string[]): CallerLoadOptions => ({
+  entries,
+  service: 'orders',
+  keys: 20,
+  uploadService: 'artwork',
+  uploadBytes: 200_000,
+  mix: {get: 0.5, post: 0.25, put: 0.2, upload: 0.05},
+  loop: {kind: 'closed', callers: 8, thinkTimeMs: 1},
+});
+
+async function runFor(load: CallerLoad, ms: number) {
+  load.start();
+  await sleep(ms);
+  await load.stop();
+}
+
+describe('caller load', () => {
+  it('keeps every promise against a sound entry', async () => {
+    const {server, port} = await startServer();
+    const load = new CallerLoad(options([await startEntry(port)]));
+    await runFor(load, 400);
+    const report = load.report();
+    expect(report.outcomes.answered).toBe(report.requests);
+    expect(report.acknowledgedFilings).toBeGreaterThan(0);
+    expect(report.latency.upload.count).toBeGreaterThan(0);
+    expect(report.unavailableKeyMs).toBe(0);
+    expect(
+      check({records: server.records(), attempts: load.history()}),
+    ).toEqual([]);
+  });
+
+  it('sends a filing again elsewhere, which shows a double run', async () => {
+    const {server, port} = await startServer();
+    const broken = await startEntry(port, (request, response) => {
+      if (request.method !== 'POST') return false;
+      response.destroy();
+      return true;
+    });
+    const load = new CallerLoad({
+      ...options([broken, await startEntry(port)]),
+      mix: {get: 0, post: 1, put: 0, upload: 0},
+    });
+    await runFor(load, 200);
+    const report = load.report();
+    expect(report.outcomes['transport-error']).toBeGreaterThan(0);
+    expect(report.resends).toBe(report.outcomes['transport-error']);
+    const kinds = check({
+      records: server.records(),
+      attempts: load.history(),
+    }).map(violation => violation.kind);
+    expect(new Set(kinds)).toEqual(new Set(['double-run']));
+  });
+
+  it('finds an entry that says not-run after the run', async () => {
+    const {server, port} = await startServer();
+    const lying = await startEntry(port, (request, response) => {
+      if (request.method === 'GET') return false;
+      response.writeHead(503, {'wisteriarun-outcome': 'not-run'}).end();
+      return true;
+    });
+    const load = new CallerLoad(options([lying]));
+    await runFor(load, 200);
+    const kinds = check({
+      records: server.records(),
+      attempts: load.history(),
+    }).map(violation => violation.kind);
+    expect(new Set(kinds)).toEqual(new Set(['not-run-ran']));
+  });
+
+  it('asks a failed key again to measure its unavailable time', async () => {
+    const {port} = await startServer();
+    let down = true;
+    const entry = await startEntry(port, (_, response) => {
+      if (!down) return false;
+      response.writeHead(502, {'wisteriarun-outcome': 'unknown'}).end();
+      return true;
+    });
+    const load = new CallerLoad({
+      ...options([entry]),
+      keys: 1,
+      mix: {get: 1, post: 0, put: 0, upload: 0},
+      // So slow that only a probe can end the gap.
+      loop: {kind: 'closed', callers: 1, thinkTimeMs: 60_000},
+      probeIntervalMs: 20,
+    });
+    load.start();
+    await sleep(200);
+    down = false;
+    await sleep(200);
+    await load.stop();
+    expect(load.gaps()).toHaveLength(1);
+    expect(load.report().longestGapMs).toBeGreaterThan(150);
+    expect(load.report().longestGapMs).toBeLessThan(390);
+    expect(load.gaps()[0]!.closed).toBe(true);
+  });
+
+  it('moves the hot key and changes the rate of an open loop', async () => {
+    const {server, port} = await startServer();
+    const load = new CallerLoad({
+      ...options([await startEntry(port)]),
+      mix: {get: 1, post: 0, put: 0, upload: 0},
+      loop: {kind: 'open', ratePerSecond: 50, maxInFlight: 50},
+      hotShare: 1,
+    });
+    load.start();
+    await sleep(200);
+    load.setHotKey(7);
+    load.setRate(400);
+    await sleep(300);
+    await load.stop();
+    const count = (key: string) =>
+      server
+        .records()
+        .filter(r => r.kind === 'run' && r.key === key && r.effect === 'done')
+        .length;
+    expect(count('key-0')).toBeGreaterThan(3);
+    expect(count('key-7')).toBeGreaterThan(2 * count('key-0'));
+  });
+});
