Add the request path of the daemon

Entries and dispatchers need one path from a caller to the owner's slot that keeps the three outcomes.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,4 +3,4 @@
  *
  * @packageDocumentation
  */
-export {};
+export * from './request/index.js';
--- /dev/null
+++ b/packages/daemon/src/request/replay-body.ts
@@ -0,0 +1,130 @@
+/** Body of a caller's request, replayable as long as it is in memory. */
+import {PassThrough, Readable} from 'node:stream';
+
+/** Largest body that is kept for a replay. */
+export const REPLAY_BYTES = 64 * 1024;
+
+/** Thrown into a body that exceeds the service's limit. */
+export class BodyTooLargeError extends Error {
+  override readonly name = 'BodyTooLargeError';
+}
+
+/** Thrown when a caller's body ends before its declared length. */
+export class BodyBrokenError extends Error {
+  override readonly name = 'BodyBrokenError';
+}
+
+/** A whole body in memory, or a prefix in memory and a stream. */
+export class ReplayBody {
+  private consumed = false;
+  /** True when the streamed part exceeded the limit. */
+  tooLarge = false;
+
+  private constructor(
+    private readonly prefix: Buffer,
+    private readonly rest: Readable | null,
+    private readonly maxBytes: number,
+    /** Length in bytes; null when it is not known. */
+    readonly lengthBytes: number | null,
+  ) {}
+
+  /**
+   * Reads a body into memory, or up to the replay limit.
+   *
+   * @param source - Body of the caller's request.
+   * @param lengthBytes - Declared length; null when it is not known.
+   * @param maxBytes - Limit of the service.
+   * @returns The body.
+   * @throws BodyTooLargeError or BodyBrokenError.
+   */
+  static async read(
+    source: Readable,
+    lengthBytes: number | null,
+    maxBytes: number,
+  ): Promise<ReplayBody> {
+    if (lengthBytes !== null && lengthBytes > maxBytes) {
+      throw new BodyTooLargeError();
+    }
+    if (lengthBytes === 0) {
+      return new ReplayBody(Buffer.alloc(0), null, maxBytes, 0);
+    }
+    if (lengthBytes !== null && lengthBytes > REPLAY_BYTES) {
+      return new ReplayBody(Buffer.alloc(0), source, maxBytes, lengthBytes);
+    }
+    const {prefix, ended} = await readPrefix(source);
+    if (prefix.length > maxBytes) throw new BodyTooLargeError();
+    if (ended) return new ReplayBody(prefix, null, maxBytes, prefix.length);
+    return new ReplayBody(prefix, source, maxBytes, lengthBytes);
+  }
+
+  /** True while another try would send the same bytes. */
+  get replayable(): boolean {
+    return !this.consumed;
+  }
+
+  /** Memory that the body holds. */
+  get heldBytes(): number {
+    return this.prefix.length;
+  }
+
+  /**
+   * Opens the body for one try. A streamed body is not read before its reader
+   * asks for data.
+   *
+   * @returns Buffer, stream, or null for an empty body.
+   */
+  open(): Readable | Buffer | null {
+    if (!this.rest) return this.prefix.length > 0 ? this.prefix : null;
+    return Readable.from(this.chunks(this.rest), {objectMode: false});
+  }
+
+  private async *chunks(rest: Readable): AsyncGenerator<Buffer> {
+    if (this.consumed) throw new BodyBrokenError();
+    this.consumed = true;
+    let total = this.prefix.length;
+    if (total > 0) yield this.prefix;
+    for await (const chunk of rest.iterator({destroyOnReturn: false})) {
+      total += (chunk as Buffer).length;
+      if (total > this.maxBytes) {
+        this.tooLarge = true;
+        throw new BodyTooLargeError();
+      }
+      yield chunk as Buffer;
+    }
+  }
+}
+
+function readPrefix(
+  source: Readable,
+): Promise<{prefix: Buffer; ended: boolean}> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const finish = (ended: boolean) => {
+      source.off('data', onData).off('end', onEnd);
+      source.off('close', onBroken).off('error', onBroken);
+      if (!ended) source.pause();
+      resolve({prefix: Buffer.concat(chunks), ended});
+    };
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size > REPLAY_BYTES) finish(false);
+    };
+    const onEnd = () => finish(true);
+    const onBroken = () => reject(new BodyBrokenError());
+    source.on('data', onData).on('end', onEnd);
+    source.on('close', onBroken).on('error', onBroken);
+  });
+}
+
+/**
+ * An empty answer body.
+ *
+ * @returns A stream that ends at once.
+ */
+export function emptyBody(): Readable {
+  const body = new PassThrough();
+  body.end();
+  return body;
+}
