Hash the last chunk of an upload before it is sent

The answer arrived while the caller still paused after its last chunk, before it had computed its own checksum. Change: the pause comes before a chunk, and the checksum is complete when the last chunk is handed over.

--- a/testing/standins/src/caller-load.ts
+++ b/testing/standins/src/caller-load.ts
@@ -507,12 +507,13 @@
   let checksum: string | null = null;
   async function* chunks() {
     for (let sent = 0; sent < sizeBytes; sent += CHUNK_BYTES) {
+      if (pauseMs > 0) await sleep(pauseMs);
       const chunk = randomBytes(Math.min(CHUNK_BYTES, sizeBytes - sent));
       hash.update(chunk);
+      // The answer may arrive before the generator is asked to go on.
+      if (sent + chunk.length === sizeBytes) checksum = hash.digest('hex');
       yield chunk;
-      if (pauseMs > 0) await sleep(pauseMs);
     }
-    checksum = hash.digest('hex');
   }
   return {
     content: Readable.from(chunks()),
--- a/testing/standins/test/caller-load.test.ts
+++ b/testing/standins/test/caller-load.test.ts
@@ -91,6 +91,18 @@
     ).toEqual([]);
   });
 
+  it('knows its checksum when the answer follows the last chunk at once', async () => {
+    const {port} = await startServer();
+    const load = new CallerLoad({
+      ...options([await startEntry(port)]),
+      mix: {get: 0, post: 0, put: 0, upload: 1},
+      uploadChunkPauseMs: 20,
+    });
+    await runFor(load, 300);
+    expect(load.report().latency.upload.count).toBeGreaterThan(8);
+    expect(load.report().checksumErrors).toBe(0);
+  });
+
   it('sends a filing again elsewhere, which shows a double run', async () => {
     const {server, port} = await startServer();
     const broken = await startEntry(port, (request, response) => {
