--- /dev/null
+++ b/testing/demo/src/bundle.ts
@@ -0,0 +1,42 @@
+/** Signing of bundles for the harness. */
+import {generateKeyPairSync, sign, type KeyObject} from 'node:crypto';
+import type {BundleRecord, Bundle, SignedBundle} from '@wisteriarun/core';
+import {uuidv7} from '@wisteriarun/standins';
+
+/** An operator's key pair. */
+export interface SigningKey {
+  readonly keyId: string;
+  /** SPKI DER in base64. */
+  readonly publicKey: string;
+  readonly privateKey: KeyObject;
+}
+
+/** Creates a key pair. */
+export function createSigningKey(keyId: string): SigningKey {
+  const {publicKey, privateKey} = generateKeyPairSync('ed25519');
+  const der = publicKey.export({type: 'spki', format: 'der'});
+  return {keyId, publicKey: der.toString('base64'), privateKey};
+}
+
+/** Signs the exact text of a bundle. */
+export function signBundle(bundle: Bundle, key: SigningKey): SignedBundle {
+  const payload = JSON.stringify(bundle);
+  return {
+    payload,
+    keyId: key.keyId,
+    signature: sign(null, Buffer.from(payload), key.privateKey).toString(
+      'base64',
+    ),
+  };
+}
+
+/** Builds the log record that publishes a bundle on top of its predecessor. */
+export function bundleRecord(bundle: Bundle, key: SigningKey): BundleRecord {
+  return {
+    kind: 'bundle',
+    id: uuidv7(),
+    author: key.keyId,
+    baseVersion: bundle.version - 1,
+    signed: signBundle(bundle, key),
+  };
+}
--- /dev/null
+++ b/testing/demo/src/cluster.ts
@@ -0,0 +1,649 @@
+/** A deployment of separate processes on loopback addresses. */
+import {randomBytes} from 'node:crypto';
+import {
+  existsSync,
+  mkdirSync,
+  mkdtempSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {
+  HEADERS,
+  bundleSchema,
+  type Bundle,
+  type Server,
+  type Service,
+} from '@wisteriarun/core';
+import {
+  readRecordFile,
+  sleep,
+  wallMs,
+  type BackendBehaviour,
+  type LogCounters,
+  type LogFaults,
+  type ServerRecord,
+  type Vm,
+  type VmListControl,
+} from '@wisteriarun/standins';
+import {bundleRecord, createSigningKey} from './bundle.js';
+import {Child} from './child.js';
+import {PortBlock} from './ports.js';
+
+const HOST = '127.0.0.1';
+const STREAM = 'deployment';
+const POLL_INTERVAL_MS = 50;
+const PROBE_TIMEOUT_MS = 2_000;
+const VM_LIST_POLL_MS = 500;
+
+const pathOf = (path: string) =>
+  fileURLToPath(new URL(`../../../${path}`, import.meta.url));
+const DAEMON_MAIN = pathOf('packages/daemon/dist/main.js');
+const standinMain = (name: string) =>
+  pathOf(`testing/standins/dist/${name}-main.js`);
+
+/** A backend server of the cluster. */
+export interface ServerSpec {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  /** Default `batch-1`. */
+  readonly batch?: string;
+  readonly slots: number;
+  readonly speed?: number;
+  readonly serviceTimeMs?: number;
+  readonly coldRequests?: number;
+  readonly clockOffsetMs?: number;
+  readonly clockDriftRatio?: number;
+  readonly checksGrants?: boolean;
+}
+
+/** An entry VM of the cluster. */
+export interface EntrySpec {
+  readonly id: string;
+  readonly zone: string;
+  readonly capacity?: number;
+}
+
+/** What a cluster consists of. */
+export interface ClusterOptions {
+  readonly deployment?: string;
+  readonly zones: readonly string[];
+  readonly services: readonly (Pick<Service, 'id' | 'shards'> &
+    Partial<Service>)[];
+  readonly servers: readonly ServerSpec[];
+  readonly entries: readonly EntrySpec[];
+  /** Further settings of the daemons: section, key, value. */
+  readonly settings?: Settings;
+  readonly vmListLagMs?: number;
+  /** Script of the daemon; the built daemon by default. */
+  readonly daemonMain?: string;
+  /** Keeps the directory with settings, logs and records after `close`. */
+  readonly keepDirectory?: boolean;
+}
+
+/** Sections of an INI file. */
+export type Settings = Readonly<
+  Record<string, Readonly<Record<string, string | number>>>
+>;
+
+/** Ports of an entry VM. */
+interface EntryPorts {
+  readonly caller: number;
+  readonly relay: number;
+  readonly peer: number;
+  readonly operator: number;
+}
+
+interface EntryProcess {
+  readonly spec: EntrySpec;
+  readonly ports: EntryPorts;
+  child: Child;
+  listed: boolean;
+}
+
+interface ServerProcess {
+  readonly spec: ServerSpec;
+  readonly recordFile: string;
+  readonly port: number;
+  child: Child;
+  listed: boolean;
+  lostAtMs: number | null;
+}
+
+/** Starts, disturbs and ends the processes of one deployment. */
+export class Cluster {
+  /** Directory with settings, output and records of all processes. */
+  readonly directory: string;
+  /** Bearer token of the operator ports. */
+  readonly operatorToken = randomBytes(16).toString('hex');
+  readonly deployment: string;
+  private readonly signer = createSigningKey('root');
+  private readonly secret = randomBytes(16).toString('hex');
+  private readonly entries = new Map<string, EntryProcess>();
+  private readonly servers = new Map<string, ServerProcess>();
+  private ports: PortBlock | null = null;
+  private log: Child | null = null;
+  private vmList: Child | null = null;
+  private logUrl = '';
+  private vmListUrl = '';
+  private published: Bundle | null = null;
+  private spawned = 0;
+  private readonly removeDirectory = () => {
+    if (this.options.keepDirectory) return;
+    rmSync(this.directory, {recursive: true, force: true});
+  };
+
+  private constructor(private readonly options: ClusterOptions) {
+    this.directory = mkdtempSync(join(tmpdir(), 'wisteriarun-cluster-'));
+    this.deployment = options.deployment ?? 'demo';
+    process.once('exit', this.removeDirectory);
+  }
+
+  /**
+   * Starts all processes and publishes the first bundle.
+   *
+   * @param options - Parts of the cluster.
+   * @returns The cluster; the bundle may not be in force yet.
+   * @throws Error when a process does not start; the others are ended.
+   */
+  static async start(options: ClusterOptions): Promise<Cluster> {
+    const cluster = new Cluster(options);
+    try {
+      await cluster.startAll();
+      return cluster;
+    } catch (error) {
+      await cluster.close();
+      throw error;
+    }
+  }
+
+  /** Addresses of the caller ports, `host:port`, of all started entries. */
+  entryAddresses(): string[] {
+    return [...this.entries.values()].map(
+      entry => `${HOST}:${entry.ports.caller}`,
+    );
+  }
+
+  /** Address of one entry's caller port. */
+  entryAddress(id: string): string {
+    return `${HOST}:${this.entry(id).ports.caller}`;
+  }
+
+  /** Address of one entry's operator port. */
+  operatorAddress(id: string): string {
+    return `${HOST}:${this.entry(id).ports.operator}`;
+  }
+
+  /** Address of a server. */
+  serverAddress(id: string): string {
+    return `${HOST}:${this.server(id).port}`;
+  }
+
+  /** Specifications of the servers. */
+  serverSpecs(): ServerSpec[] {
+    return [...this.servers.values()].map(server => server.spec);
+  }
+
+  /** Servers that were killed, with the wall time of each loss. */
+  losses(): {server: string; atMs: number}[] {
+    return [...this.servers.values()].flatMap(({spec, lostAtMs}) =>
+      lostAtMs === null ? [] : [{server: spec.id, atMs: lostAtMs}],
+    );
+  }
+
+  /** Records of all servers, also of killed ones. */
+  records(): ServerRecord[] {
+    return [...this.servers.values()].flatMap(({recordFile}) =>
+      existsSync(recordFile) ? readRecordFile(recordFile) : [],
+    );
+  }
+
+  /** Output of a process, by the id of its VM, `log` or `vm-list`. */
+  output(id: string): string {
+    return this.child(id).output();
+  }
+
+  /** Whether the process of a VM runs. */
+  isRunning(id: string): boolean {
+    return this.child(id).running;
+  }
+
+  /**
+   * Starts another entry VM and adds it to the VM list.
+   *
+   * @param spec - The VM.
+   * @param settings - Settings in addition to those of the cluster.
+   */
+  async addEntry(spec: EntrySpec, settings: Settings = {}): Promise<void> {
+    const ports: EntryPorts = {
+      caller: await this.takePort(),
+      relay: await this.takePort(),
+      peer: await this.takePort(),
+      operator: await this.takePort(),
+    };
+    const seeds = this.seeds(ports.peer);
+    const path = this.writeSettings(spec, ports, seeds, settings);
+    const child = this.spawnEntry(spec.id, path);
+    this.entries.set(spec.id, {spec, ports, child, listed: true});
+    await this.publishVmList();
+  }
+
+  /** Starts another backend server; a later bundle has to name it. */
+  async addServer(spec: ServerSpec): Promise<void> {
+    const recordFile = join(this.directory, `${spec.id}.records`);
+    const port = await this.takePort();
+    const child = this.spawnServer(spec, port, recordFile);
+    this.servers.set(spec.id, {
+      spec,
+      recordFile,
+      port,
+      child,
+      listed: true,
+      lostAtMs: null,
+    });
+    await child.ready();
+  }
+
+  /** Ends a server with SIGKILL; the VM list still shows it. */
+  async killServer(id: string): Promise<void> {
+    const server = this.server(id);
+    server.lostAtMs = wallMs();
+    await server.child.end('SIGKILL');
+  }
+
+  /** Stops a server's process with SIGSTOP. */
+  freezeServer(id: string): void {
+    this.server(id).child.signal('SIGSTOP');
+  }
+
+  /** Lets a frozen server go on as if nothing had happened. */
+  thawServer(id: string): void {
+    this.server(id).child.signal('SIGCONT');
+  }
+
+  /** Starts a server again at its address, with a new boot id. */
+  async restartServer(id: string): Promise<void> {
+    const server = this.server(id);
+    await server.child.end('SIGKILL');
+    server.child = this.spawnServer(
+      server.spec,
+      server.port,
+      server.recordFile,
+    );
+    await server.child.ready();
+  }
+
+  /** Changes the behaviour of a server. */
+  async setServer(id: string, change: Partial<BackendBehaviour>) {
+    await post(`http://${this.serverAddress(id)}/control`, change);
+  }
+
+  /** Ends an entry process with SIGKILL. */
+  async killEntry(id: string): Promise<void> {
+    await this.entry(id).child.end('SIGKILL');
+  }
+
+  /**
+   * Asks an entry process to shut down gracefully.
+   *
+   * @returns Its exit code once it has ended, whenever that is.
+   */
+  async stopEntry(id: string): Promise<number | null> {
+    const {child} = this.entry(id);
+    child.signal('SIGTERM');
+    await child.ended();
+    return child.exitCode;
+  }
+
+  /** Stops an entry process with SIGSTOP. */
+  freezeEntry(id: string): void {
+    this.entry(id).child.signal('SIGSTOP');
+  }
+
+  /** Lets a frozen entry process go on. */
+  thawEntry(id: string): void {
+    this.entry(id).child.signal('SIGCONT');
+  }
+
+  /** Starts an entry process again with its settings. */
+  async restartEntry(id: string): Promise<void> {
+    const entry = this.entry(id);
+    await entry.child.end('SIGKILL');
+    entry.child = this.spawnEntry(id, this.settingsPath(id));
+  }
+
+  /** Switches faults of the log service. */
+  async setLogFault(faults: Partial<LogFaults>): Promise<void> {
+    await post(`${this.logUrl}/control`, faults);
+  }
+
+  /** Counters of the log service. */
+  async logCounters(): Promise<LogCounters> {
+    const {body} = await request(`${this.logUrl}/control`);
+    return ((await body.json()) as {counters: LogCounters}).counters;
+  }
+
+  /** Switches faults of the VM list. */
+  async setVmListFault(
+    faults: Pick<VmListControl, 'lagMs' | 'outage'>,
+  ): Promise<void> {
+    await post(`${this.vmListUrl}/control`, faults);
+  }
+
+  /** Removes a VM from the VM list, or adds it again. */
+  async listVm(id: string, listed: boolean): Promise<void> {
+    const vm = this.entries.get(id) ?? this.server(id);
+    vm.listed = listed;
+    await this.publishVmList();
+  }
+
+  /** The bundle that was published last. */
+  currentBundle(): Bundle {
+    if (!this.published) throw new Error('no bundle has been published');
+    return this.published;
+  }
+
+  /**
+   * Publishes the next bundle version.
+   *
+   * @param change - Parts that differ from the version before.
+   * @returns The bundle.
+   */
+  async publishBundle(change: Partial<Bundle> = {}): Promise<Bundle> {
+    const bundle = bundleSchema.parse({
+      ...(this.published ?? this.firstBundle()),
+      ...change,
+      version: (this.published?.version ?? 0) + 1,
+    });
+    const record = bundleRecord(bundle, this.signer);
+    await post(`${this.logUrl}/streams/${STREAM}/records`, {record});
+    this.published = bundle;
+    return bundle;
+  }
+
+  /** A server as bundles describe it. */
+  describeServer(id: string): Server {
+    const {spec, port} = this.server(id);
+    return {
+      id,
+      service: spec.service,
+      batch: spec.batch ?? 'batch-1',
+      zone: spec.zone,
+      host: HOST,
+      port,
+      slots: spec.slots,
+      connections: 130,
+      checksGrants: spec.checksGrants ?? true,
+    };
+  }
+
+  /**
+   * Waits until every running entry answers reads of every service.
+   *
+   * @param timeoutMs - Longest wait in milliseconds.
+   * @param keys - Keys per service that are asked.
+   * @returns Time that it took in milliseconds.
+   * @throws Error that names the entries still without an answer.
+   */
+  async waitUntilServing(timeoutMs: number, keys = 8): Promise<number> {
+    const startMs = performance.now();
+    const probes: {address: string; path: string}[] = [];
+    for (const {id} of this.options.services) {
+      for (const entry of this.entries.values()) {
+        if (!entry.child.running) continue;
+        const address = `${HOST}:${entry.ports.caller}`;
+        for (let i = 0; i < keys; i++) {
+          probes.push({address, path: `/${id}/probe-${i}`});
+        }
+      }
+    }
+    let left = probes;
+    while (performance.now() - startMs < timeoutMs) {
+      const answered = await Promise.all(left.map(isAnswered));
+      left = left.filter((_, index) => !answered[index]);
+      if (left.length === 0) return performance.now() - startMs;
+      this.requireRunningEntries();
+      await sleep(POLL_INTERVAL_MS);
+    }
+    const missing = left.slice(0, 5).map(({address, path}) => address + path);
+    throw new Error(
+      `${left.length} of ${probes.length} probes have no answer after ` +
+        `${timeoutMs} ms: ${missing.join(' ')}`,
+    );
+  }
+
+  /** Ends all processes and removes the directory. */
+  async close(): Promise<void> {
+    const children = [
+      ...[...this.entries.values()].map(entry => entry.child),
+      ...[...this.servers.values()].map(server => server.child),
+      this.log,
+      this.vmList,
+    ].filter(child => child !== null);
+    await Promise.all(children.map(child => child.end('SIGKILL')));
+    await this.ports?.close();
+    this.ports = null;
+    this.removeDirectory();
+    process.off('exit', this.removeDirectory);
+  }
+
+  private async startAll(): Promise<void> {
+    const {options} = this;
+    this.ports = await PortBlock.reserve();
+    const spawn = async (name: string, args: string[]) => {
+      const port = String(await this.takePort());
+      const main = standinMain(name);
+      return this.spawn(name, [main, '--port', port, ...args]);
+    };
+    this.log = await spawn('log-service', []);
+    const lagMs = String(options.vmListLagMs ?? 0);
+    this.vmList = await spawn('vm-list', ['--lag-ms', lagMs]);
+    this.logUrl = urlOf(await this.log.ready());
+    this.vmListUrl = urlOf(await this.vmList.ready());
+    await Promise.all(options.servers.map(spec => this.addServer(spec)));
+    for (const spec of options.entries) await this.addEntry(spec);
+    await this.publishBundle();
+  }
+
+  private firstBundle(): Omit<Bundle, 'version'> {
+    const {zones, services, servers} = this.options;
+    const batches = new Set(servers.map(server => server.batch ?? 'batch-1'));
+    return {
+      deployment: this.deployment,
+      zones: [...zones],
+      services: services.map(service => ({
+        adoption: 'hold',
+        maxBodyBytes: 1024 ** 3,
+        ...service,
+      })),
+      batches: [...batches].map(id => ({id, state: 'serving'})),
+      servers: servers.map(server => this.describeServer(server.id)),
+      stopped: [],
+      signers: [{keyId: this.signer.keyId, publicKey: this.signer.publicKey}],
+    };
+  }
+
+  private async publishVmList(): Promise<void> {
+    const vms: Vm[] = [];
+    for (const {spec, ports, listed} of this.entries.values()) {
+      if (!listed) continue;
+      const address = `${HOST}:${ports.peer}`;
+      const {id, zone} = spec;
+      vms.push({id, role: 'entry', zone, address, state: 'live'});
+    }
+    for (const {spec, port, listed} of this.servers.values()) {
+      if (!listed) continue;
+      const address = `${HOST}:${port}`;
+      const {id, zone} = spec;
+      vms.push({id, role: 'server', zone, address, state: 'live'});
+    }
+    await post(`${this.vmListUrl}/control`, {vms});
+  }
+
+  /** Peer ports of the first entries, or the own port for the first. */
+  private seeds(ownPeerPort: number): string {
+    const started = [...this.entries.values()].slice(0, 3);
+    const peerPorts = started.map(entry => entry.ports.peer);
+    return [...peerPorts, ownPeerPort]
+      .slice(0, 3)
+      .map(port => `${HOST}:${port}`)
+      .join(',');
+  }
+
+  private settingsPath(id: string): string {
+    return join(this.directory, `${id}.ini`);
+  }
+
+  private writeSettings(
+    spec: EntrySpec,
+    ports: EntryPorts,
+    seeds: string,
+    extra: Settings,
+  ): string {
+    const {id, zone, capacity = 1} = spec;
+    const base: Settings = {
+      vm: {id, zone, deployment: this.deployment, capacity},
+      caller: {host: HOST, port: ports.caller},
+      relay: {host: HOST, port: ports.relay},
+      peer: {host: HOST, port: ports.peer},
+      operator: {host: HOST, port: ports.operator, token: this.operatorToken},
+      log: {endpoint: this.logUrl, stream: STREAM},
+      vm_list: {endpoint: this.vmListUrl, poll_interval_ms: VM_LIST_POLL_MS},
+      peers: {seeds},
+      trust: {
+        root_key_id: this.signer.keyId,
+        // Quoted, because base64 may end with `=`.
+        root_public_key: JSON.stringify(this.signer.publicKey),
+        deployment_secret: this.secret,
+      },
+      logs: {level: 'info'},
+    };
+    const path = this.settingsPath(id);
+    const settings = mergeSettings(base, this.options.settings ?? {}, extra);
+    writeFileSync(path, formatSettings(settings), {mode: 0o600});
+    return path;
+  }
+
+  private spawnEntry(id: string, settingsPath: string): Child {
+    const main = this.options.daemonMain ?? DAEMON_MAIN;
+    if (!existsSync(main)) throw new Error(`daemon is not built: ${main}`);
+    return this.spawn(id, [main, '--config', settingsPath]);
+  }
+
+  private spawnServer(
+    spec: ServerSpec,
+    port: number,
+    recordFile: string,
+  ): Child {
+    const flags: Record<string, string | number | undefined> = {
+      id: spec.id,
+      port,
+      slots: spec.slots,
+      speed: spec.speed,
+      'service-time-ms': spec.serviceTimeMs,
+      'cold-requests': spec.coldRequests,
+      'clock-offset-ms': spec.clockOffsetMs,
+      'clock-drift-ratio': spec.clockDriftRatio,
+      'record-file': recordFile,
+      'store-dir': join(this.directory, 'store'),
+    };
+    // `--name=value` also takes negative numbers.
+    const args = Object.entries(flags).flatMap(([name, value]) =>
+      value === undefined ? [] : [`--${name}=${value}`],
+    );
+    if (spec.checksGrants === false) args.push('--no-checks');
+    return this.spawn(spec.id, [standinMain('backend-server'), ...args]);
+  }
+
+  private spawn(name: string, args: string[]): Child {
+    mkdirSync(join(this.directory, 'output'), {recursive: true});
+    const count = this.spawned++;
+    const output = join(this.directory, 'output', `${name}.${count}.log`);
+    return new Child(name, output, args);
+  }
+
+  private async takePort(): Promise<number> {
+    if (!this.ports) throw new Error('cluster is closed');
+    return this.ports.take();
+  }
+
+  private requireRunningEntries(): void {
+    for (const {spec, child} of this.entries.values()) {
+      if (child.exitCode !== null) {
+        throw new Error(
+          `${spec.id} ended with ${child.exitCode}: ${child.tail()}`,
+        );
+      }
+    }
+  }
+
+  private entry(id: string): EntryProcess {
+    const entry = this.entries.get(id);
+    if (!entry) throw new Error(`unknown entry VM: ${id}`);
+    return entry;
+  }
+
+  private server(id: string): ServerProcess {
+    const server = this.servers.get(id);
+    if (!server) throw new Error(`unknown server: ${id}`);
+    return server;
+  }
+
+  private child(id: string): Child {
+    if (id === 'log' && this.log) return this.log;
+    if (id === 'vm-list' && this.vmList) return this.vmList;
+    return (this.entries.get(id) ?? this.server(id)).child;
+  }
+}
+
+async function post(url: string, body: unknown): Promise<void> {
+  const response = await request(url, {
+    method: 'POST',
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify(body),
+  });
+  const text = await response.body.text();
+  if (response.statusCode >= 300) {
+    throw new Error(`${url} answered ${response.statusCode}: ${text}`);
+  }
+}
+
+async function isAnswered(probe: {address: string; path: string}) {
+  try {
+    const response = await request(`http://${probe.address}${probe.path}`, {
+      headers: {[HEADERS.requestTimeoutMs]: String(PROBE_TIMEOUT_MS)},
+      signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+    });
+    await response.body.dump();
+    return response.headers[HEADERS.outcome] === 'answered';
+  } catch {
+    return false;
+  }
+}
+
+function urlOf({host, port}: {host: string; port: number}): string {
+  return `http://${host}:${port}`;
+}
+
+function mergeSettings(...parts: readonly Settings[]): Settings {
+  const merged: Record<string, Record<string, string | number>> = {};
+  for (const part of parts) {
+    for (const [section, values] of Object.entries(part)) {
+      merged[section] = {...merged[section], ...values};
+    }
+  }
+  return merged;
+}
+
+function formatSettings(settings: Settings): string {
+  return Object.entries(settings)
+    .map(([section, values]) => {
+      const lines = Object.entries(values).map(([key, v]) => `${key} = ${v}`);
+      return [`[${section}]`, ...lines, ''].join('\n');
+    })
+    .join('\n');
+}
--- a/testing/demo/src/index.ts
+++ b/testing/demo/src/index.ts
@@ -1,6 +1,8 @@
 /**
- * End-to-end demo.
+ * Harness that runs a deployment in separate processes, and the demo.
  *
  * @packageDocumentation
  */
-export {};
+export * from './bundle.js';
+export * from './cluster.js';
+export {PortBlock} from './ports.js';
--- /dev/null
+++ b/testing/demo/src/ports.ts
@@ -0,0 +1,73 @@
+/** Port numbers that parallel runs on one machine do not share. */
+import {createServer, type Server} from 'node:net';
+
+const HOST = '127.0.0.1';
+/**
+ * Below the range from which the kernel takes ports for outgoing connections
+ * and for listeners on port 0, so that neither can take a reserved port.
+ */
+const FIRST_PORT = 20_000;
+const LAST_PORT = 32_000;
+const BLOCK_SIZE = 100;
+const MAX_BLOCKS = 200;
+
+/** A block of ports that belongs to one run until it is closed. */
+export class PortBlock {
+  private next: number;
+
+  private constructor(
+    private readonly lock: Server,
+    private readonly firstPort: number,
+  ) {
+    this.next = firstPort + 1;
+  }
+
+  /**
+   * Reserves a block. Its first port is kept open as the mark of the owner.
+   *
+   * @throws Error when all tried blocks are taken.
+   */
+  static async reserve(): Promise<PortBlock> {
+    const blocks = Math.floor((LAST_PORT - FIRST_PORT) / BLOCK_SIZE);
+    const start = Math.floor(Math.random() * blocks);
+    for (let i = 0; i < Math.min(blocks, MAX_BLOCKS); i++) {
+      const port = FIRST_PORT + ((start + i) % blocks) * BLOCK_SIZE;
+      const lock = await listen(port);
+      if (lock) return new PortBlock(lock, port);
+    }
+    throw new Error('no free block of ports');
+  }
+
+  /**
+   * Takes a port of the block that nothing listens on.
+   *
+   * @throws Error when the block is used up.
+   */
+  async take(): Promise<number> {
+    while (this.next < this.firstPort + BLOCK_SIZE) {
+      const port = this.next++;
+      const probe = await listen(port);
+      if (!probe) continue;
+      await close(probe);
+      return port;
+    }
+    throw new Error('block of ports used up');
+  }
+
+  /** Gives the block back. */
+  close(): Promise<void> {
+    return close(this.lock);
+  }
+}
+
+function listen(port: number): Promise<Server | null> {
+  return new Promise(resolve => {
+    const server = createServer(socket => socket.destroy());
+    server.once('error', () => resolve(null));
+    server.listen(port, HOST, () => resolve(server));
+  });
+}
+
+function close(server: Server): Promise<void> {
+  return new Promise(resolve => server.close(() => resolve()));
+}
