--- /dev/null
+++ b/packages/daemon/src/control/assigner-runner.ts
@@ -0,0 +1,247 @@
+/** Runs the assigner role of this VM: elections, and one `Assigner` per term. */
+import {randomUUID} from 'node:crypto';
+import {
+  Assigner,
+  decideElection,
+  type AssignerCommand,
+  type LeaseRequest,
+  type LogRecord,
+  type RouterState,
+  type TermState,
+} from '@wisteriarun/core';
+import type {FoldedRecord} from './state-replica.js';
+import type {AssignerPorts} from './types.js';
+
+/** Interval between two steps of the assigner. */
+const STEP_INTERVAL_MS = 25;
+/** Wait after an append of a term record before another attempt. */
+const TERM_RETRY_MS = 500;
+
+/** An assigner of one zone and the term that it acts under. */
+interface ActiveTerm {
+  readonly term: number;
+  readonly assigner: Assigner;
+}
+
+/** What this VM saw of a zone on the log, on its monotonic clock. */
+interface ZoneSighting {
+  term: number;
+  termSeenAtMs: number;
+  lastRecordAtMs: number | null;
+}
+
+/** Holds the terms of this process and executes their assigners' commands. */
+export class AssignerRunner {
+  private readonly active = new Map<string, ActiveTerm>();
+  private readonly sightings = new Map<string, ZoneSighting>();
+  private readonly ownAppends = new Map<string, string>();
+  private readonly termPendingUntilMs = new Map<string, number>();
+  private timer: NodeJS.Timeout | null = null;
+
+  /**
+   * @param ports - Everything the runner reads from and acts on.
+   */
+  constructor(private readonly ports: AssignerPorts) {}
+
+  /** Starts the periodic steps. */
+  start(): void {
+    this.timer = setInterval(() => this.step(), STEP_INTERVAL_MS);
+  }
+
+  /** Zones whose assigner this process is. */
+  get zones(): string[] {
+    return [...this.active.keys()];
+  }
+
+  /** Every assigner of this process. */
+  *assigners(): Generator<Assigner> {
+    for (const {assigner} of this.active.values()) yield assigner;
+  }
+
+  /**
+   * Learns the verdict on a record and follows the terms.
+   *
+   * @param state - State after the record.
+   * @param folded - The record, or null after a state from a peer.
+   */
+  onFolded(state: RouterState, folded: FoldedRecord | null): void {
+    if (folded) {
+      this.noteAuthor(folded);
+      this.settle(folded);
+    }
+    for (const [zone, term] of state.terms) this.followTerm(zone, term);
+  }
+
+  /** Stops all steps. */
+  close(): void {
+    if (this.timer) clearInterval(this.timer);
+    this.timer = null;
+    this.active.clear();
+  }
+
+  private sighting(zone: string): ZoneSighting {
+    const known = this.sightings.get(zone);
+    if (known) return known;
+    const fresh = {
+      term: 0,
+      termSeenAtMs: this.ports.clock.monotonicMs(),
+      lastRecordAtMs: null,
+    };
+    this.sightings.set(zone, fresh);
+    return fresh;
+  }
+
+  /** A zone's own VM that appends shows that the zone is alive. */
+  private noteAuthor({verdict}: FoldedRecord): void {
+    if (verdict.kind !== 'accepted' || verdict.record.kind !== 'term') return;
+    const {zone, authorZone} = verdict.record;
+    if (zone !== authorZone) return;
+    this.sighting(zone).lastRecordAtMs = this.ports.clock.monotonicMs();
+  }
+
+  private settle({record, verdict}: FoldedRecord): void {
+    const id = (record as {id?: unknown} | null)?.id;
+    const zone = typeof id === 'string' ? this.ownAppends.get(id) : undefined;
+    if (typeof id !== 'string' || zone === undefined) return;
+    this.ownAppends.delete(id);
+    const accepted = verdict.kind !== 'rejected';
+    this.active.get(zone)?.assigner.onAppendResult({recordId: id, accepted});
+  }
+
+  private followTerm(zone: string, current: TermState): void {
+    const sighting = this.sighting(zone);
+    if (sighting.term === current.term) return;
+    sighting.term = current.term;
+    sighting.termSeenAtMs = this.ports.clock.monotonicMs();
+    if (this.active.has(zone)) this.endTerm(zone, current);
+    if (current.holder === this.ports.vm) this.startTerm(zone, current);
+  }
+
+  private startTerm(zone: string, {term}: TermState): void {
+    const nowMs = this.ports.clock.monotonicMs();
+    const assigner = new Assigner({
+      vm: this.ports.vm,
+      zone,
+      term,
+      termAcknowledgedAtMs: nowMs,
+      nowMs,
+      longestDeadlineMs: this.ports.longestDeadlineMs,
+    });
+    this.active.set(zone, {term, assigner});
+    this.ports.emit({kind: 'term-started', term, fields: {zone}});
+  }
+
+  private endTerm(zone: string, {term, holder}: TermState): void {
+    this.active.delete(zone);
+    this.ports.emit({
+      kind: 'term-ended',
+      term,
+      cause: 'newer-term',
+      fields: {zone, holder},
+    });
+  }
+
+  private step(): void {
+    const {ports} = this;
+    const state = ports.state();
+    if (!state.bundle) return;
+    for (const zone of state.bundle.body.zones) this.considerElection(zone);
+    for (const [zone, {assigner}] of this.active) {
+      const commands = assigner.step({
+        nowMs: ports.clock.monotonicMs(),
+        wallMs: ports.clock.wallMs(),
+        state,
+        entries: ports.entriesOf(zone),
+        removedServers: ports.removedServers(),
+        logAvailable: ports.logAvailable(),
+        termConfirmedAtMs: ports.termConfirmedAtMs(),
+      });
+      for (const command of commands) this.execute(zone, assigner, command);
+    }
+  }
+
+  private considerElection(zone: string): void {
+    const {ports} = this;
+    const nowMs = ports.clock.monotonicMs();
+    const observedSinceMs = ports.observedSinceMs();
+    if (observedSinceMs === null) return;
+    if (nowMs < (this.termPendingUntilMs.get(zone) ?? 0)) return;
+    const sighting = this.sighting(zone);
+    const draft = decideElection({
+      self: {vm: ports.vm, zone: ports.zone, draining: ports.draining()},
+      zone,
+      nowMs,
+      peers: ports.sightings(),
+      state: ports.state(),
+      logAvailable: ports.logAvailable(),
+      observedSinceMs,
+      termSeenAtMs: sighting.termSeenAtMs,
+      lastZoneRecordAtMs: sighting.lastRecordAtMs,
+    });
+    if (!draft) return;
+    this.termPendingUntilMs.set(zone, nowMs + TERM_RETRY_MS);
+    ports.emit({kind: 'candidate', fields: {zone}});
+    void ports.append({...draft, id: randomUUID()});
+  }
+
+  private execute(
+    zone: string,
+    assigner: Assigner,
+    command: AssignerCommand,
+  ): void {
+    const {ports} = this;
+    switch (command.kind) {
+      case 'lease':
+        void this.callServer(assigner, command.server, command.request);
+        return;
+      case 'probe':
+        void this.callServer(assigner, command.server, null);
+        return;
+      case 'append':
+        this.append(zone, assigner, {...command.record, id: randomUUID()});
+        return;
+      case 'dispatch-table':
+        ports.publishTable(command.table);
+        return;
+      case 'event':
+        ports.emit(command.event);
+        return;
+      default:
+        ports.send(command.to, command.message);
+    }
+  }
+
+  private async callServer(
+    assigner: Assigner,
+    server: string,
+    sentLease: LeaseRequest | null,
+  ): Promise<void> {
+    const {ports} = this;
+    const result = sentLease
+      ? await ports.lease(server, sentLease)
+      : await ports.probe(server);
+    const nowMs = ports.clock.monotonicMs();
+    if (result.isOk) {
+      const status = result.value;
+      assigner.onServerStatus({
+        server,
+        receivedAtMs: nowMs,
+        status,
+        sentLease,
+      });
+    } else if (result.error.kind === 'lease-refused') {
+      assigner.onLeaseRefused({server, term: result.error.term});
+    } else {
+      assigner.onServerFailure({server, nowMs});
+    }
+  }
+
+  private append(zone: string, assigner: Assigner, record: LogRecord): void {
+    const recordId = record.id;
+    this.ownAppends.set(recordId, zone);
+    void this.ports.append(record).then(onLog => {
+      if (onLog || !this.ownAppends.delete(recordId)) return;
+      assigner.onAppendResult({recordId, accepted: false});
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/isolation.ts
@@ -0,0 +1,35 @@
+/** Carries attempt records along when a hot key is isolated or put back. */
+import {shardOf, type Hasher, type RouterState} from '@wisteriarun/core';
+import type {DispatcherHost} from '../request/dispatcher-host.js';
+import type {FoldedRecord} from './state-replica.js';
+
+/**
+ * Tells the dispatcher role about an accepted `isolate` or `merge` record. It
+ * has to be called before the change of routes is applied.
+ *
+ * @param dispatcher - Dispatcher role.
+ * @param hasher - Loaded hash function.
+ * @param folded - Folded record.
+ * @param before - State before the record.
+ * @param after - State after the record.
+ */
+export function followIsolation(
+  dispatcher: DispatcherHost,
+  hasher: Hasher,
+  folded: FoldedRecord,
+  before: RouterState,
+  after: RouterState,
+): void {
+  if (folded.verdict.kind !== 'accepted') return;
+  const {record} = folded.verdict;
+  if (record.kind !== 'isolate' && record.kind !== 'merge') return;
+  const {service, key} = record;
+  const found = after.bundle?.body.services.find(({id}) => id === service);
+  if (!found) return;
+  const hashShard = shardOf(hasher, service, key, found.shards);
+  const holder = record.kind === 'isolate' ? after : before;
+  const own = holder.services.get(service)?.isolated.get(key);
+  if (own === undefined) return;
+  if (record.kind === 'isolate') dispatcher.onIsolated(service, hashShard, own);
+  else dispatcher.onMerged(service, own, hashShard);
+}
--- /dev/null
+++ b/packages/daemon/src/control/log-tail.ts
@@ -0,0 +1,125 @@
+/** Keeps the state replica up to date with the log, or with peers. */
+import type {LogRecord, Signer, WisteriarunError} from '@wisteriarun/core';
+import {LogAppender, LogClient, LogFollower, recover} from '@wisteriarun/log';
+import type {StateReplica} from './state-replica.js';
+
+/** Time for one append with its retries. */
+const APPEND_TIMEOUT_MS = 5_000;
+/** Wait between two attempts to recover from the log. */
+const RECOVER_RETRY_MS = 500;
+
+/** Where the log is and what the tail feeds. */
+export interface LogTailOptions {
+  readonly endpoint: string;
+  readonly stream: string;
+  readonly trust: readonly Signer[];
+  readonly replica: StateReplica;
+  /** Called once for each change of availability. */
+  readonly onAvailability: (
+    up: boolean,
+    error: WisteriarunError | null,
+  ) => void;
+}
+
+/** Recovers, follows and appends. */
+export class LogTail {
+  private readonly client: LogClient;
+  private readonly appender: LogAppender;
+  private follower: LogFollower | null = null;
+  private retry: NodeJS.Timeout | null = null;
+  private available = false;
+  private closed = false;
+  private lastProblem: WisteriarunError | null = null;
+
+  /**
+   * @param options - Where the log is and what the tail feeds.
+   */
+  constructor(private readonly options: LogTailOptions) {
+    const {endpoint, stream} = options;
+    this.client = new LogClient({endpoint, stream});
+    this.appender = new LogAppender({client: this.client});
+  }
+
+  /** Whether the latest read of the log succeeded. */
+  get isAvailable(): boolean {
+    return this.available;
+  }
+
+  /** Why the log cannot be followed, or null. */
+  get problem(): WisteriarunError | null {
+    return this.lastProblem;
+  }
+
+  /**
+   * Monotonic time at which the latest read started that showed the end of the
+   * stream; negative infinity before the first.
+   */
+  get confirmedAtMs(): number {
+    return this.follower?.status.currentAtMs ?? -Infinity;
+  }
+
+  /** Recovers from the log and follows it, with retries. */
+  async start(): Promise<void> {
+    if (this.closed) return;
+    const {replica, trust} = this.options;
+    const recovery = await recover(this.client, trust);
+    if (this.closed) return;
+    if (recovery.isErr) {
+      this.setAvailability(false, recovery.error);
+      this.retry = setTimeout(() => void this.start(), RECOVER_RETRY_MS);
+      return;
+    }
+    replica.restore(recovery.value.state);
+    this.follow();
+  }
+
+  /**
+   * Appends a record.
+   *
+   * @param record - Record with a unique id.
+   * @returns False when the record is certainly not on the log.
+   */
+  async append(record: LogRecord): Promise<boolean> {
+    const appended = await this.appender.append(record, {
+      from: this.options.replica.state.offset + 1,
+      timeoutMs: APPEND_TIMEOUT_MS,
+    });
+    return appended.isOk || appended.error.kind === 'append-uncertain';
+  }
+
+  /** Stops following; a pending append may still take effect. */
+  async close(): Promise<void> {
+    this.closed = true;
+    if (this.retry) clearTimeout(this.retry);
+    await this.follower?.close();
+    await this.client.close();
+  }
+
+  private follow(): void {
+    const {replica} = this.options;
+    const follower = new LogFollower({
+      client: this.client,
+      from: replica.state.offset + 1,
+    });
+    this.follower = follower;
+    void follower.batches.observe(records => replica.apply(records));
+    void follower.statuses.observe(({up, error}) => {
+      if (error?.kind === 'log-expired') void this.restart();
+      else this.setAvailability(up, error);
+    });
+    follower.start();
+  }
+
+  /** A reader that fell behind the retention needs a newer state first. */
+  private async restart(): Promise<void> {
+    await this.follower?.close();
+    await this.start();
+  }
+
+  private setAvailability(up: boolean, error: WisteriarunError | null): void {
+    this.lastProblem = error;
+    if (this.available === up) return;
+    this.available = up;
+    this.options.onAvailability(up, error);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -0,0 +1,203 @@
+/** Acts on the messages of the control link. */
+import type {DispatchTable, PeerMessage} from '@wisteriarun/core';
+import type {Clock} from '@wisteriarun/runtime';
+import type {DispatcherHost} from '../request/dispatcher-host.js';
+import type {AssignerRunner} from './assigner-runner.js';
+import type {DispatchDirectory} from './dispatch-directory.js';
+import type {PermissionTable} from './permissions.js';
+import type {RouteTable} from './route-table.js';
+import type {StateReplica} from './state-replica.js';
+
+type MessageOf<K extends PeerMessage['kind']> = Extract<PeerMessage, {kind: K}>;
+
+/** Parts that the messages act on. */
+export interface PeerDutiesOptions {
+  readonly vm: string;
+  readonly clock: Clock;
+  readonly replica: StateReplica;
+  readonly directory: DispatchDirectory;
+  readonly routes: RouteTable;
+  readonly dispatcher: DispatcherHost;
+  readonly permissions: PermissionTable;
+  readonly runner: AssignerRunner;
+  /** Sends over the control link. */
+  readonly sendRemote: (vm: string, message: PeerMessage) => void;
+  readonly broadcast: (message: PeerMessage) => void;
+}
+
+/** Dispatches each message to the role that it concerns. */
+export class PeerDuties {
+  /** Servers that this VM dispatches for according to the tables. */
+  private dispatched = new Set<string>();
+
+  /**
+   * @param options - Parts to act on.
+   */
+  constructor(private readonly options: PeerDutiesOptions) {}
+
+  /** Number of servers that this VM dispatches for. */
+  get dispatchedServers(): number {
+    return this.dispatched.size;
+  }
+
+  /**
+   * Sends a message to an entry VM, which may be this one.
+   *
+   * @param vm - Receiver.
+   * @param message - The message.
+   */
+  send(vm: string, message: PeerMessage): void {
+    if (vm === this.options.vm) this.handle(vm, message);
+    else this.options.sendRemote(vm, message);
+  }
+
+  /**
+   * Stores a table of this VM's assigner and sends it to all entry VMs.
+   *
+   * @param table - The table.
+   */
+  publishTable(table: DispatchTable): void {
+    this.onTable(table);
+    this.options.broadcast(table);
+  }
+
+  /**
+   * Brings a peer up to date whose link has just come up.
+   *
+   * @param vm - The peer.
+   */
+  greet(vm: string): void {
+    for (const table of this.options.directory.known()) this.send(vm, table);
+    const records = this.options.dispatcher.exportCrashRecords();
+    if (records.length > 0) this.send(vm, {kind: 'crash-record', records});
+  }
+
+  /**
+   * Acts on one message.
+   *
+   * @param from - Sender.
+   * @param message - Checked message.
+   */
+  handle(from: string, message: PeerMessage): void {
+    const {dispatcher, runner, replica} = this.options;
+    switch (message.kind) {
+      case 'dispatch-table':
+        this.onTable(message);
+        return;
+      case 'dispatch-stop':
+        void this.stopDispatch(from, message);
+        return;
+      case 'shard-drain':
+        void this.drain(from, message);
+        return;
+      case 'handover':
+        dispatcher.importAttempts(message);
+        return;
+      case 'permission':
+        this.onPermission(from, message);
+        return;
+      case 'crash-record':
+        dispatcher.onCrashRecords(message.records);
+        return;
+      case 'state-request':
+        this.send(from, {kind: 'state-reply', image: replica.image()});
+        return;
+      case 'state-reply':
+        if (message.image) replica.adopt(message.image);
+        return;
+      case 'load-report':
+        for (const assigner of runner.assigners()) {
+          assigner.onLoadReport(message);
+        }
+        return;
+      case 'dispatch-stopped':
+        for (const assigner of runner.assigners()) {
+          assigner.onDispatchStopped(message, from);
+        }
+        return;
+      case 'shard-drained':
+        for (const assigner of runner.assigners()) {
+          assigner.onShardDrained(message, from);
+        }
+        return;
+      case 'permission-ack':
+        this.onPermissionAck(from, message);
+        return;
+      case 'hello':
+      case 'heartbeat':
+        return;
+    }
+  }
+
+  private onTable(table: DispatchTable): void {
+    const {directory, dispatcher, routes, vm} = this.options;
+    if (!directory.update(table)) return;
+    const own = new Set<string>();
+    for (const row of directory.all()) {
+      if (row.dispatcher !== vm) continue;
+      own.add(row.server);
+      dispatcher.setDispatch(row.server, row.fence);
+    }
+    for (const server of this.dispatched) {
+      if (!own.has(server)) dispatcher.setDispatch(server, null);
+    }
+    this.dispatched = own;
+    routes.onChanged();
+  }
+
+  private async stopDispatch(
+    from: string,
+    {server, next, term}: MessageOf<'dispatch-stop'>,
+  ): Promise<void> {
+    await this.options.dispatcher.stop(server);
+    const byService = new Map<string, number[]>();
+    for (const {service, shard} of this.options.routes.shardsOf(server)) {
+      const shards = byService.get(service) ?? [];
+      shards.push(shard);
+      byService.set(service, shards);
+    }
+    for (const [service, shards] of byService) {
+      this.handOver(next, service, shards);
+    }
+    this.send(from, {kind: 'dispatch-stopped', server, term});
+  }
+
+  private async drain(
+    from: string,
+    message: MessageOf<'shard-drain'>,
+  ): Promise<void> {
+    const {server, service, shards, next, term, drain} = message;
+    await this.options.dispatcher.setDrain(server, service, shards, drain);
+    if (!drain) return;
+    if (next !== null && next !== this.options.vm) {
+      this.handOver(next, service, shards);
+    }
+    this.send(from, {kind: 'shard-drained', term, server, service, shards});
+  }
+
+  private handOver(next: string, service: string, shards: number[]): void {
+    this.send(next, this.options.dispatcher.exportAttempts(service, shards));
+  }
+
+  private onPermission(from: string, message: MessageOf<'permission'>): void {
+    const {permissions, clock} = this.options;
+    if (!permissions.update(message)) return;
+    this.send(from, {
+      kind: 'permission-ack',
+      server: message.server,
+      term: message.term,
+      clockMs: clock.monotonicMs(),
+      busy: [],
+    });
+  }
+
+  private onPermissionAck(
+    from: string,
+    msg: MessageOf<'permission-ack'>,
+  ): void {
+    const receivedAtMs = this.options.clock.monotonicMs();
+    for (const assigner of this.options.runner.assigners()) {
+      assigner.onPermissionAck({vm: from, receivedAtMs, msg});
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/peer-roster.ts
@@ -0,0 +1,113 @@
+/** Entry VMs as the control link and the VM list show them. */
+import {PEER_SILENT_MS, type EntryVm, type PeerView} from '@wisteriarun/core';
+import type {PeerMesh} from '@wisteriarun/peer';
+import type {Clock} from '@wisteriarun/runtime';
+import type {VmListWatcher} from '@wisteriarun/vm-list';
+import type {RelayEndpoint} from './route-table.js';
+
+/** This VM as its peers see it. */
+export interface SelfView extends RelayEndpoint {
+  readonly vm: string;
+  readonly zone: string;
+  readonly capacity: number;
+  readonly draining: () => boolean;
+}
+
+/** Parts that the roster reads from. */
+export interface PeerRosterOptions {
+  readonly self: SelfView;
+  readonly mesh: PeerMesh;
+  readonly vmList: VmListWatcher;
+  readonly clock: Clock;
+}
+
+/**
+ * Gives the id that a process uses towards its peers. It changes with each
+ * start, so that a restarted process never passes for the former one.
+ *
+ * @param vm - VM id from the settings.
+ * @param bootId - Unique for each start.
+ * @returns The id of the running process.
+ */
+export function instanceId(vm: string, bootId: string): string {
+  return `${vm}.${bootId.slice(0, 8)}`;
+}
+
+const vmOf = (instance: string) => instance.slice(0, instance.lastIndexOf('.'));
+
+/** Answers which entry VMs live, drain, and where their relays listen. */
+export class PeerRoster {
+  private readonly drainingSinceMs = new Map<string, number>();
+
+  /**
+   * @param options - Parts to read from.
+   */
+  constructor(private readonly options: PeerRosterOptions) {}
+
+  /**
+   * Relay address of an entry VM.
+   *
+   * @param vm - Instance id.
+   * @returns The address, or null when the VM is not known.
+   */
+  relayOf(vm: string): RelayEndpoint | null {
+    const {self, mesh} = this.options;
+    return vm === self.vm ? self : mesh.peer(vm);
+  }
+
+  /**
+   * Live entry VMs that may dispatch for a zone's servers. Without any in the
+   * zone, those of this VM's zone take the role.
+   *
+   * @param zone - Zone of the servers.
+   * @returns Live VMs, this one included for its own zone.
+   */
+  entriesOf(zone: string): readonly EntryVm[] {
+    const {self} = this.options;
+    const local = this.liveIn(zone);
+    return local.length > 0 || zone === self.zone
+      ? local
+      : this.liveIn(self.zone);
+  }
+
+  /** Other entry VMs of all zones, as elections see them. */
+  views(): PeerView[] {
+    const nowMs = this.options.clock.monotonicMs();
+    return this.options.mesh.peers().map(peer => {
+      const draining = peer.draining || this.isLeaving(peer.vm);
+      if (!draining) this.drainingSinceMs.delete(peer.vm);
+      else if (!this.drainingSinceMs.has(peer.vm)) {
+        this.drainingSinceMs.set(peer.vm, nowMs);
+      }
+      return {
+        vm: peer.vm,
+        zone: peer.zone,
+        lastHeardAtMs: peer.lastHeardMs,
+        drainingSinceMs: this.drainingSinceMs.get(peer.vm) ?? null,
+      };
+    });
+  }
+
+  private liveIn(zone: string): EntryVm[] {
+    const {self, mesh, clock} = this.options;
+    const heardSinceMs = clock.monotonicMs() - PEER_SILENT_MS;
+    const live = mesh
+      .peers()
+      .filter(peer => peer.zone === zone && peer.lastHeardMs >= heardSinceMs)
+      .map(({vm, capacity, draining}) => ({
+        vm,
+        capacity,
+        draining: draining || this.isLeaving(vm),
+      }));
+    if (zone === self.zone) {
+      const draining = self.draining() || this.isLeaving(self.vm);
+      live.push({vm: self.vm, capacity: self.capacity, draining});
+    }
+    return live;
+  }
+
+  private isLeaving(instance: string): boolean {
+    const listed = this.options.vmList.vms.get(vmOf(instance));
+    return listed?.state === 'leaving';
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/route-table.ts
@@ -0,0 +1,131 @@
+/** Folded state and dispatch tables in the form that the request path reads. */
+import {
+  route,
+  type Hasher,
+  type Route,
+  type RouterState,
+  type Server,
+  type Service,
+} from '@wisteriarun/core';
+import type {DispatchDirectory} from './dispatch-directory.js';
+import type {
+  DispatcherAddress,
+  OwnedShard,
+  RouteSource,
+} from '../request/types.js';
+
+/** Relay address of an entry VM. */
+export interface RelayEndpoint {
+  readonly relayHost: string;
+  readonly relayPort: number;
+}
+
+/** Parts that the route table reads from. */
+export interface RouteTableOptions {
+  readonly vm: string;
+  readonly hasher: Hasher;
+  readonly state: () => RouterState;
+  readonly directory: DispatchDirectory;
+  /** Relay address of an entry VM, or null when the VM is not known. */
+  readonly relayOf: (vm: string) => RelayEndpoint | null;
+}
+
+/** Answers the request path's questions about routes. */
+export class RouteTable implements RouteSource {
+  private readonly waiting = new Set<() => void>();
+  private servers = new Map<string, Server>();
+  private leavingMs = new Map<string, number>();
+  private shards: Map<string, OwnedShard[]> | null = null;
+  private indexedBundleOffset = 0;
+
+  /**
+   * @param options - Parts to read from.
+   */
+  constructor(private readonly options: RouteTableOptions) {}
+
+  route(service: string, key: string): Route | null {
+    const {state, hasher} = this.options;
+    return route(state(), hasher, service, key);
+  }
+
+  dispatcherOf(server: string): DispatcherAddress | null {
+    const row = this.options.directory.lookup(server);
+    if (!row) return null;
+    const relay = this.options.relayOf(row.dispatcher);
+    if (!relay) return null;
+    const isSelf = row.dispatcher === this.options.vm;
+    return {vm: row.dispatcher, fence: row.fence, isSelf, ...relay};
+  }
+
+  server(id: string): Server | null {
+    this.indexBundle();
+    return this.servers.get(id) ?? null;
+  }
+
+  service(id: string): Service | null {
+    const services = this.options.state().bundle?.body.services;
+    return services?.find(service => service.id === id) ?? null;
+  }
+
+  hasBundle(): boolean {
+    return this.options.state().bundle !== null;
+  }
+
+  shardsOf(server: string): Iterable<OwnedShard> {
+    this.shards ??= indexShards(this.options.state());
+    return this.shards.get(server) ?? [];
+  }
+
+  leavingAtMs(server: string): number | null {
+    this.indexBundle();
+    return this.leavingMs.get(server) ?? null;
+  }
+
+  whenChanged(timeoutMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const wake = () => {
+        clearTimeout(timer);
+        this.waiting.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, timeoutMs);
+      this.waiting.add(wake);
+    });
+  }
+
+  /** Drops indexes of an older state and wakes the waiting requests. */
+  onChanged(): void {
+    this.shards = null;
+    for (const wake of [...this.waiting]) wake();
+  }
+
+  private indexBundle(): void {
+    const {bundle} = this.options.state();
+    if (!bundle || bundle.offset === this.indexedBundleOffset) return;
+    const {servers, batches} = bundle.body;
+    this.indexedBundleOffset = bundle.offset;
+    this.servers = new Map(servers.map(server => [server.id, server]));
+    const leaveAtMs = new Map<string, number>();
+    for (const batch of batches) {
+      if (batch.state === 'leaving') leaveAtMs.set(batch.id, batch.leaveAtMs);
+    }
+    this.leavingMs = new Map();
+    for (const {id, batch} of servers) {
+      const atMs = leaveAtMs.get(batch);
+      if (atMs !== undefined) this.leavingMs.set(id, atMs);
+    }
+  }
+}
+
+function indexShards(state: RouterState): Map<string, OwnedShard[]> {
+  const index = new Map<string, OwnedShard[]>();
+  for (const [service, {rows}] of state.services) {
+    rows.forEach(({server, epoch}, shard) => {
+      if (server === null) return;
+      const owned = index.get(server) ?? [];
+      owned.push({service, shard, epoch});
+      index.set(server, owned);
+    });
+  }
+  return index;
+}
--- /dev/null
+++ b/packages/daemon/src/control/server-clients.ts
@@ -0,0 +1,76 @@
+/** Clients for lease and status calls, one for each server of the bundle. */
+import {BackendClient} from '@wisteriarun/backend';
+import {ERRORS, type LeaseRequest, type Server} from '@wisteriarun/core';
+import {Result} from 'true-myth';
+import type {StatusResult} from './types.js';
+
+interface OpenClient {
+  readonly server: Server;
+  readonly client: BackendClient;
+}
+
+/** Opens clients on first use and closes those of removed servers. */
+export class ServerClients {
+  private readonly open = new Map<string, OpenClient>();
+
+  /**
+   * @param find - Gives a server as the bundle in force describes it.
+   */
+  constructor(private readonly find: (id: string) => Server | null) {}
+
+  /**
+   * Sends a lease call.
+   *
+   * @param server - Server id.
+   * @param request - The lease.
+   * @returns Status, or `server-unreachable` or `lease-refused`.
+   */
+  lease(server: string, request: LeaseRequest): Promise<StatusResult> {
+    return this.call(server, client => client.lease(request));
+  }
+
+  /**
+   * Sends a status call.
+   *
+   * @param server - Server id.
+   * @returns Status, or `server-unreachable`.
+   */
+  probe(server: string): Promise<StatusResult> {
+    return this.call(server, client => client.status());
+  }
+
+  /** Closes clients whose server changed or left the bundle. */
+  prune(): void {
+    for (const [id, {server, client}] of this.open) {
+      if (this.find(id) === server) continue;
+      this.open.delete(id);
+      void client.close();
+    }
+  }
+
+  /** Closes all clients. */
+  async close(): Promise<void> {
+    const clients = [...this.open.values()];
+    this.open.clear();
+    await Promise.all(clients.map(({client}) => client.close()));
+  }
+
+  private call(
+    id: string,
+    action: (client: BackendClient) => Promise<StatusResult>,
+  ): Promise<StatusResult> {
+    const server = this.find(id);
+    if (server) return action(this.clientOf(server));
+    const error = ERRORS.serverUnreachable(id, 'not in the bundle in force');
+    return Promise.resolve(Result.err(error));
+  }
+
+  private clientOf(server: Server): BackendClient {
+    const known = this.open.get(server.id);
+    if (known && known.server === server) return known.client;
+    if (known) void known.client.close();
+    const client = new BackendClient(server);
+    this.open.set(server.id, {server, client});
+    return client;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/snapshot-writer.ts
@@ -0,0 +1,70 @@
+/** Writes snapshots of the folded state to the log. */
+import {randomUUID} from 'node:crypto';
+import type {LogRecord, RouterState, StateImage} from '@wisteriarun/core';
+import type {Clock} from '@wisteriarun/runtime';
+import type {FoldedRecord} from './state-replica.js';
+
+/** Parts that the writer uses. */
+export interface SnapshotWriterOptions {
+  readonly vm: string;
+  readonly clock: Clock;
+  readonly intervalMs: number;
+  readonly state: () => RouterState;
+  readonly image: () => StateImage;
+  /** Zones whose assigner this process is. */
+  readonly ownZones: () => readonly string[];
+  readonly logAvailable: () => boolean;
+  readonly append: (record: LogRecord) => Promise<boolean>;
+}
+
+/**
+ * Appends a snapshot at each interval, and first thing after a log outage that
+ * lasted longer than one. Only the assigner of the lowest-named zone writes.
+ */
+export class SnapshotWriter {
+  private lastSnapshotMs: number;
+  private pending = false;
+
+  /**
+   * @param options - Parts to use.
+   */
+  constructor(private readonly options: SnapshotWriterOptions) {
+    this.lastSnapshotMs = options.clock.monotonicMs();
+  }
+
+  /**
+   * Notes a snapshot on the log, by whichever VM.
+   *
+   * @param folded - A folded record.
+   */
+  onFolded(folded: FoldedRecord): void {
+    const kind = (folded.record as {kind?: unknown} | null)?.kind;
+    if (kind !== 'snapshot') return;
+    this.lastSnapshotMs = this.options.clock.monotonicMs();
+  }
+
+  /** Appends a snapshot when one is due. */
+  async step(): Promise<void> {
+    const {clock, intervalMs, append, image, vm} = this.options;
+    if (this.pending || !this.isWriter()) return;
+    if (clock.monotonicMs() - this.lastSnapshotMs < intervalMs) return;
+    this.pending = true;
+    const state = image();
+    const appended = await append({
+      kind: 'snapshot',
+      id: randomUUID(),
+      author: vm,
+      upTo: state.offset,
+      image: state,
+    });
+    if (appended) this.lastSnapshotMs = clock.monotonicMs();
+    this.pending = false;
+  }
+
+  private isWriter(): boolean {
+    const zones = this.options.state().bundle?.body.zones ?? [];
+    const lowest = [...zones].sort()[0];
+    if (lowest === undefined || !this.options.logAvailable()) return false;
+    return this.options.ownZones().includes(lowest);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/types.ts
@@ -0,0 +1,48 @@
+/** What the assigner role needs from the rest of the daemon. */
+import type {
+  AssignerOptions,
+  DispatchTable,
+  EntryVm,
+  EventInput,
+  LeaseRequest,
+  LogRecord,
+  PeerMessage,
+  PeerView,
+  RouterState,
+  ServerStatus,
+  WisteriarunError,
+} from '@wisteriarun/core';
+import type {Clock} from '@wisteriarun/runtime';
+import type {Result} from 'true-myth/result';
+
+/** Answer to a lease or status call. */
+export type StatusResult = Result<ServerStatus, WisteriarunError>;
+
+/** Reads and actions of the assigner role. */
+export interface AssignerPorts {
+  readonly vm: string;
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly longestDeadlineMs: NonNullable<AssignerOptions['longestDeadlineMs']>;
+  /** Time since which this VM has listened to peers and followed the log. */
+  readonly observedSinceMs: () => number | null;
+  readonly draining: () => boolean;
+  readonly state: () => RouterState;
+  readonly logAvailable: () => boolean;
+  readonly termConfirmedAtMs: () => number;
+  /** Live entry VMs of a zone; this VM is included for its own zone. */
+  readonly entriesOf: (zone: string) => readonly EntryVm[];
+  /** Other entry VMs of all zones. */
+  readonly sightings: () => readonly PeerView[];
+  readonly removedServers: () => ReadonlySet<string>;
+  readonly lease: (
+    server: string,
+    request: LeaseRequest,
+  ) => Promise<StatusResult>;
+  readonly probe: (server: string) => Promise<StatusResult>;
+  /** Resolves to false when the record is certainly not on the log. */
+  readonly append: (record: LogRecord) => Promise<boolean>;
+  readonly send: (vm: string, message: PeerMessage) => void;
+  readonly publishTable: (table: DispatchTable) => void;
+  readonly emit: (event: EventInput) => void;
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,464 @@
+/** Builds one entry VM's process from its parts. */
+import {randomUUID} from 'node:crypto';
+import {CallerServer} from '@wisteriarun/caller';
+import {
+  createHasher,
+  describeError,
+  type EventInput,
+  type Hasher,
+  type PeerMessage,
+  type RouterState,
+  type WisteriarunError,
+} from '@wisteriarun/core';
+import {OperatorServer} from '@wisteriarun/operator';
+import {PeerMesh, RelayClient, RelayServer} from '@wisteriarun/peer';
+import {
+  Metrics,
+  SystemClock,
+  Timeline,
+  type Clock,
+  type Logger,
+  type Settings,
+} from '@wisteriarun/runtime';
+import {VmListClient, VmListWatcher} from '@wisteriarun/vm-list';
+import {periodic} from 'most';
+import {AssignerRunner} from './control/assigner-runner.js';
+import {DispatchDirectory} from './control/dispatch-directory.js';
+import {followIsolation} from './control/isolation.js';
+import {LOAD_REPORT_INTERVAL_MS, reportLoads} from './control/load-reporter.js';
+import {LogTail} from './control/log-tail.js';
+import {PeerDuties} from './control/peer-duties.js';
+import {PeerRoster, instanceId} from './control/peer-roster.js';
+import {PermissionTable} from './control/permissions.js';
+import {RouteTable} from './control/route-table.js';
+import {ServerClients} from './control/server-clients.js';
+import {SnapshotWriter} from './control/snapshot-writer.js';
+import {StateReplica, type FoldedRecord} from './control/state-replica.js';
+import {OperatorView} from './operator-view.js';
+import {DispatcherHost, EntryHandler} from './request/index.js';
+
+/** Interval of the slow periodic duties. */
+const HOUSEKEEPING_INTERVAL_MS = 1_000;
+/** Wait after the start before the VM judges other VMs by their silence. */
+const OBSERVE_BEFORE_ELECTION_MS = 1_000;
+/** Interval at which a shutdown looks whether its duties are handed over. */
+const SHUTDOWN_POLL_MS = 50;
+/** Longest wait for other VMs to take the duties over. */
+const HANDOVER_TIMEOUT_MS = 10_000;
+
+/** One entry VM's process. */
+export class Daemon {
+  private readonly clock: Clock = new SystemClock();
+  private readonly bootId = randomUUID();
+  private readonly vm: string;
+  private readonly timeline: Timeline;
+  private readonly metrics = new Metrics();
+  private readonly directory = new DispatchDirectory();
+  private readonly replica: StateReplica;
+  private readonly routes: RouteTable;
+  private readonly log: LogTail;
+  private readonly mesh: PeerMesh;
+  private readonly vmList: VmListWatcher;
+  private readonly roster: PeerRoster;
+  private readonly permissions: PermissionTable;
+  private readonly servers: ServerClients;
+  private readonly dispatcher: DispatcherHost;
+  private readonly runner: AssignerRunner;
+  private readonly duties: PeerDuties;
+  private readonly snapshots: SnapshotWriter;
+  private readonly relayClient: RelayClient;
+  private readonly callers: CallerServer;
+  private readonly relay: RelayServer;
+  private readonly operator: OperatorServer;
+  private readonly startedAtMs: number;
+  private draining = false;
+  private closed = false;
+
+  /**
+   * Creates a daemon.
+   *
+   * @param settings - Checked settings.
+   * @param logger - Takes a line for each event.
+   * @returns The daemon; call `start` next.
+   */
+  static async create(settings: Settings, logger: Logger): Promise<Daemon> {
+    return new Daemon(settings, logger, await createHasher());
+  }
+
+  private constructor(
+    private readonly settings: Settings,
+    private readonly logger: Logger,
+    private readonly hasher: Hasher,
+  ) {
+    const {vm, trust, log} = settings;
+    this.vm = instanceId(vm.id, this.bootId);
+    this.startedAtMs = this.clock.monotonicMs();
+    const {clock} = this;
+    this.timeline = new Timeline({process: this.vm, zone: vm.zone, clock});
+    const signers = [{keyId: trust.rootKeyId, publicKey: trust.rootPublicKey}];
+    this.replica = new StateReplica(signers);
+    this.log = new LogTail({
+      endpoint: log.endpoint,
+      stream: log.stream,
+      trust: signers,
+      replica: this.replica,
+      onAvailability: (up, error) => this.onLogAvailability(up, error),
+    });
+    this.mesh = this.createMesh();
+    this.vmList = new VmListWatcher({
+      reader: new VmListClient(settings.vmList.endpoint),
+      pollIntervalMs: settings.vmList.pollIntervalMs,
+      clock,
+    });
+    this.roster = this.createRoster();
+    this.routes = new RouteTable({
+      vm: this.vm,
+      hasher,
+      state: () => this.state,
+      directory: this.directory,
+      relayOf: id => this.roster.relayOf(id),
+    });
+    this.permissions = new PermissionTable(clock);
+    this.servers = new ServerClients(id => this.routes.server(id));
+    this.dispatcher = new DispatcherHost({
+      routes: this.routes,
+      clock,
+      permissions: this.permissions,
+      events: event => this.emit(event),
+    });
+    this.runner = this.createRunner();
+    this.duties = this.createDuties();
+    this.snapshots = this.createSnapshotWriter();
+    this.relayClient = new RelayClient(trust.deploymentSecret);
+    this.callers = new CallerServer(settings.caller, this.createEntry());
+    this.relay = new RelayServer(
+      {...settings.relay, secret: trust.deploymentSecret},
+      this.dispatcher,
+    );
+    this.operator = this.createOperator();
+  }
+
+  private get state(): RouterState {
+    return this.replica.state;
+  }
+
+  /** Opens all ports and starts to follow the log and the peers. */
+  async start(): Promise<void> {
+    this.replica.subscribe((state, folded, before) =>
+      this.onFolded(state, folded, before),
+    );
+    this.dispatcher.onNewCrashRecords(records => {
+      this.mesh.broadcast({kind: 'crash-record', records});
+    });
+    this.connectStreams();
+    await this.relay.listen();
+    for (const opened of [
+      await this.mesh.listen(),
+      await this.operator.listen(),
+    ]) {
+      if (opened.isErr) throw new PortError(opened.error);
+    }
+    this.mesh.setPeers(this.settings.peers.seeds);
+    this.vmList.start();
+    this.runner.start();
+    void this.log.start();
+    await this.callers.listen();
+    this.emit({kind: 'started', fields: {boot: this.bootId}});
+  }
+
+  /**
+   * Stops without cutting a request in flight: leaves the load balancer,
+   * hands the duties over, and waits for all requests.
+   */
+  async shutDown(): Promise<void> {
+    if (this.draining) return;
+    this.draining = true;
+    this.emit({kind: 'draining', cause: 'signal'});
+    this.callers.beginShutdown();
+    await delay(this.settings.limits.shutdownDelayMs);
+    await this.handOverDuties();
+    await this.callers.close();
+    await this.relay.close();
+    await this.close();
+  }
+
+  /** Ends all parts at once. */
+  async close(): Promise<void> {
+    if (this.closed) return;
+    this.closed = true;
+    this.emit({kind: 'stopped'});
+    this.runner.close();
+    this.vmList.close();
+    await this.dispatcher.close();
+    await this.servers.close();
+    this.relayClient.close();
+    await this.log.close();
+    await this.mesh.close();
+    await this.operator.close();
+  }
+
+  private async handOverDuties(): Promise<void> {
+    const untilMs = this.clock.monotonicMs() + HANDOVER_TIMEOUT_MS;
+    const hasDuties = () =>
+      this.runner.zones.length > 0 || this.duties.dispatchedServers > 0;
+    while (hasDuties() && this.clock.monotonicMs() < untilMs) {
+      if (this.roster.views().length === 0) return;
+      await delay(SHUTDOWN_POLL_MS);
+    }
+  }
+
+  private emit(event: EventInput): void {
+    const stored = this.timeline.add(event);
+    const {kind, term, epoch, offset, cause, fields} = stored;
+    const known = Object.entries({term, epoch, offset, cause}).filter(
+      ([, value]) => value !== null,
+    );
+    this.logger.info(kind, {...Object.fromEntries(known), ...fields});
+  }
+
+  private onLogAvailability(up: boolean, error: WisteriarunError | null): void {
+    if (up) this.emit({kind: 'log-up', offset: this.state.offset});
+    else {
+      const cause = error ? describeError(error) : null;
+      this.emit({kind: 'log-down', offset: this.state.offset, cause});
+    }
+  }
+
+  private onFolded(
+    state: RouterState,
+    folded: FoldedRecord | null,
+    before: RouterState,
+  ): void {
+    if (folded) {
+      this.reportVerdict(folded);
+      this.snapshots.onFolded(folded);
+      followIsolation(this.dispatcher, this.hasher, folded, before, state);
+    }
+    this.routes.onChanged();
+    this.dispatcher.onRoutesChanged();
+    this.runner.onFolded(state, folded);
+    if (before.bundle !== state.bundle) this.onBundle(state);
+  }
+
+  private onBundle({bundle, offset}: RouterState): void {
+    if (!bundle) return;
+    this.servers.prune();
+    const {version} = bundle.body;
+    this.emit({kind: 'bundle-in-force', offset, fields: {version}});
+  }
+
+  private reportVerdict({offset, verdict}: FoldedRecord): void {
+    if (verdict.kind !== 'rejected') return;
+    this.emit({
+      kind: 'record-rejected',
+      offset,
+      cause: describeError(verdict.error),
+      fields: {author: verdict.record?.author ?? 'unknown'},
+    });
+  }
+
+  private connectStreams(): void {
+    void this.mesh.messages.observe(({from, message}) =>
+      this.duties.handle(from, message),
+    );
+    void this.mesh.linkEvents.observe(event => {
+      if (event.kind === 'link-up') this.duties.greet(event.vm);
+      this.routes.onChanged();
+    });
+    void this.vmList.changes.observe(() => this.connectPeers());
+    void periodic(HOUSEKEEPING_INTERVAL_MS)
+      .takeWhile(() => !this.closed)
+      .observe(() => this.keepHouse());
+    void periodic(LOAD_REPORT_INTERVAL_MS)
+      .takeWhile(() => !this.closed)
+      .observe(() => this.reportLoads());
+  }
+
+  private keepHouse(): void {
+    void this.snapshots.step();
+    if (this.log.isAvailable) return;
+    const best = this.mesh
+      .peers()
+      .filter(peer => peer.connected && peer.offset > this.state.offset)
+      .sort((a, b) => b.offset - a.offset)[0];
+    if (best) this.mesh.send(best.vm, {kind: 'state-request'});
+  }
+
+  private reportLoads(): void {
+    reportLoads({
+      vm: this.vm,
+      state: () => this.state,
+      zoneOf: server => this.routes.server(server)?.zone ?? null,
+      loads: () => this.dispatcher.loads(),
+      send: (vm, message) => this.duties.send(vm, message),
+    });
+  }
+
+  private connectPeers(): void {
+    const listed = [...this.vmList.vms.values()]
+      .filter(vm => vm.role === 'entry' && vm.id !== this.settings.vm.id)
+      .map(vm => parseAddress(vm.address))
+      .filter(address => address !== null);
+    this.mesh.setPeers([...this.settings.peers.seeds, ...listed]);
+  }
+
+  private createMesh(): PeerMesh {
+    const {vm, relay, peer, trust} = this.settings;
+    let seq = 0;
+    return new PeerMesh({
+      deployment: vm.deployment,
+      vm: this.vm,
+      zone: vm.zone,
+      bootId: this.bootId,
+      capacity: vm.capacity,
+      relayHost: relay.host,
+      relayPort: relay.port,
+      host: peer.host,
+      port: peer.port,
+      secret: trust.deploymentSecret,
+      clock: this.clock,
+      heartbeat: () => ({
+        kind: 'heartbeat',
+        vm: this.vm,
+        zone: vm.zone,
+        seq: (seq += 1),
+        offset: this.state.offset,
+        draining: this.draining,
+        capacity: vm.capacity,
+      }),
+    });
+  }
+
+  private createRoster(): PeerRoster {
+    const {vm, relay} = this.settings;
+    return new PeerRoster({
+      self: {
+        vm: this.vm,
+        zone: vm.zone,
+        capacity: vm.capacity,
+        relayHost: relay.host,
+        relayPort: relay.port,
+        draining: () => this.draining,
+      },
+      mesh: this.mesh,
+      vmList: this.vmList,
+      clock: this.clock,
+    });
+  }
+
+  private createRunner(): AssignerRunner {
+    const {roster, servers, log} = this;
+    const observedSinceMs = this.startedAtMs + OBSERVE_BEFORE_ELECTION_MS;
+    return new AssignerRunner({
+      vm: this.vm,
+      zone: this.settings.vm.zone,
+      clock: this.clock,
+      longestDeadlineMs: () => this.settings.limits.longestDeadlineMs,
+      observedSinceMs: () =>
+        this.clock.monotonicMs() < observedSinceMs ? null : observedSinceMs,
+      draining: () => this.draining,
+      state: () => this.state,
+      logAvailable: () => log.isAvailable,
+      termConfirmedAtMs: () => log.confirmedAtMs,
+      entriesOf: zone => roster.entriesOf(zone),
+      sightings: () => roster.views(),
+      removedServers: () => this.vmList.removedIds,
+      lease: (server, request) => servers.lease(server, request),
+      probe: server => servers.probe(server),
+      append: record => log.append(record),
+      send: (vm, message) => this.duties.send(vm, message),
+      publishTable: table => this.duties.publishTable(table),
+      emit: event => this.emit(event),
+    });
+  }
+
+  private createDuties(): PeerDuties {
+    const {replica, directory, routes, dispatcher, permissions} = this;
+    return new PeerDuties({
+      vm: this.vm,
+      clock: this.clock,
+      replica,
+      directory,
+      routes,
+      dispatcher,
+      permissions,
+      runner: this.runner,
+      sendRemote: (vm: string, message: PeerMessage) => {
+        this.mesh.send(vm, message);
+      },
+      broadcast: (message: PeerMessage) => {
+        this.mesh.broadcast(message);
+      },
+    });
+  }
+
+  private createSnapshotWriter(): SnapshotWriter {
+    return new SnapshotWriter({
+      vm: this.vm,
+      clock: this.clock,
+      intervalMs: this.settings.log.snapshotIntervalMs,
+      state: () => this.state,
+      image: () => this.replica.image(),
+      ownZones: () => this.runner.zones,
+      logAvailable: () => this.log.isAvailable,
+      append: record => this.log.append(record),
+    });
+  }
+
+  private createEntry(): EntryHandler {
+    return new EntryHandler({
+      routes: this.routes,
+      clock: this.clock,
+      local: this.dispatcher,
+      relay: this.relayClient,
+      random: Math.random,
+    });
+  }
+
+  private createOperator(): OperatorServer {
+    const {vm, operator} = this.settings;
+    const source = new OperatorView({
+      deployment: vm.deployment,
+      vm: this.vm,
+      zone: vm.zone,
+      bootId: this.bootId,
+      clock: this.clock,
+      hasher: this.hasher,
+      state: () => this.state,
+      directory: this.directory,
+      log: this.log,
+      mesh: this.mesh,
+      timeline: this.timeline,
+      metrics: this.metrics,
+      draining: () => this.draining,
+      leaving: () => this.leavingProgress(),
+    });
+    return new OperatorServer({...operator, source});
+  }
+
+  private *leavingProgress() {
+    for (const assigner of this.runner.assigners()) yield* assigner.progress;
+  }
+}
+
+/** A port of the settings that cannot be opened. */
+export class PortError extends Error {
+  /**
+   * @param failure - Why the port cannot be opened.
+   */
+  constructor(readonly failure: WisteriarunError) {
+    super(describeError(failure));
+    this.name = 'PortError';
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+function parseAddress(text: string): {host: string; port: number} | null {
+  const colon = text.lastIndexOf(':');
+  const port = Number(text.slice(colon + 1));
+  if (colon < 1 || !Number.isInteger(port) || port < 1) return null;
+  return {host: text.slice(0, colon), port};
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @packageDocumentation
  */
+export {Daemon, PortError} from './daemon.js';
 export * from './request/index.js';
--- a/testing/demo/src/cluster.ts
+++ b/testing/demo/src/cluster.ts
@@ -38,6 +38,8 @@
 const POLL_INTERVAL_MS = 50;
 const PROBE_TIMEOUT_MS = 2_000;
 const VM_LIST_POLL_MS = 500;
+const LOG_RETENTION_MS = 600_000;
+const SNAPSHOT_INTERVAL_MS = 60_000;
 
 const pathOf = (path: string) =>
   fileURLToPath(new URL(`../../../${path}`, import.meta.url));
@@ -511,7 +513,12 @@
       relay: {host: HOST, port: ports.relay},
       peer: {host: HOST, port: ports.peer},
       operator: {host: HOST, port: ports.operator, token: this.operatorToken},
-      log: {endpoint: this.logUrl, stream: STREAM},
+      log: {
+        endpoint: this.logUrl,
+        stream: STREAM,
+        retention_ms: LOG_RETENTION_MS,
+        snapshot_interval_ms: SNAPSHOT_INTERVAL_MS,
+      },
       vm_list: {endpoint: this.vmListUrl, poll_interval_ms: VM_LIST_POLL_MS},
       peers: {seeds},
       trust: {
--- a/testing/standins/src/backend-server.ts
+++ b/testing/standins/src/backend-server.ts
@@ -240,10 +240,10 @@
     response: ServerResponse,
   ): Promise<void> {
     const lease = leaseRequestSchema.parse(await readJson(request));
-    if (lease.term < this.term) return sendJson(response, 409, this.status());
+    if (!this.isNewer(lease)) return sendJson(response, 409, this.status());
     this.term = lease.term;
     this.lease = lease;
-    const text = JSON.stringify({...lease, expiresAtMs: 0});
+    const text = JSON.stringify({...lease, expiresAtMs: 0, seq: 0});
     if (text !== this.leaseText) {
       this.leaseText = text;
       this.record({
@@ -260,6 +260,13 @@
     sendJson(response, 200, this.status());
   }
 
+  /** A delayed call of the same term could bring a revoked grant back. */
+  private isNewer({term, seq, bootId}: LeaseRequest): boolean {
+    if (bootId !== undefined && bootId !== this.bootId) return false;
+    if (term !== this.term) return term > this.term;
+    return seq === undefined || seq > (this.lease?.seq ?? 0);
+  }
+
   private async handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
