Test that a paused process keeps its links

Cause: the rule that skips the silence check after a pause had no test.

Ruled out: a stand-in clock (the order of timers and socket reads after a pause is what matters).

Change: a test blocks the event loop for ten heartbeat intervals.

--- a/packages/peer/test/link/peer-mesh.test.ts
+++ b/packages/peer/test/link/peer-mesh.test.ts
@@ -318,6 +318,19 @@
     expect(a.mesh.peer('b')?.bootId).toBe('b-boot');
   });
 
+  // Guards against a paused process that closes all its links when it
+  // resumes, before it reads the heartbeats that have arrived meanwhile.
+  test('a pause of the own process does not close its links', async () => {
+    const [a, b] = [await start('a'), await start('b')];
+    a.mesh.setPeers([{host: HOST, port: b.port}]);
+    await until(() => isConnected(a, 'b') && isConnected(b, 'a'), 'link');
+    const endMs = performance.now() + 10 * HEARTBEAT_MS;
+    while (performance.now() < endMs);
+    await wait(4 * HEARTBEAT_MS);
+    expect(causesOf(a)).toEqual([]);
+    expect(causesOf(b)).toEqual([]);
+  });
+
   test('a peer that never reads is closed at a bounded buffer', async () => {
     const a = await start('a');
     const peer = RawPeer.dial(a.port);
