Add client, appender, follower and recovery to the log package

Cause: an answer of the log service can be lost after the append took effect, and the service can be down, slow or out of order with its protocol.

Ruled out: one request with retries in the HTTP library (it cannot tell a certain failure from an uncertain one); counting any finished read as proof that a term is current (a full batch may have records after it, and the start of the read is the latest time that it proves); AbortSignal.any for the time limits (its results stay reachable from a follower's long-lived signal).

Change: LogClient, LogAppender, LogFollower and recover. Batches must be free of gaps. After a lost answer the appender searches the stream to its end and appends again only when the record is absent; it starts no try with less than 100 ms left, because a try that is cut short made a certain failure uncertain, which showed as a test that failed now and then. An answer above 16 MiB is asked for again with a quarter of the records.

--- /dev/null
+++ b/packages/log/src/log-client.ts
@@ -0,0 +1,298 @@
+/** HTTP client of the log service. */
+import {ERRORS, type LogRecord, type StoredRecord} from '@wisteriarun/core';
+import {Result} from 'true-myth';
+import {Pool} from 'undici';
+import {z} from 'zod';
+
+/** Connections to the log service; long polls hold one each. */
+const CONNECTIONS = 8;
+/** Bound of the memory that one answer may take. */
+const MAX_ANSWER_BYTES = 16 * 1024 ** 2;
+/** Time to connect; shorter than an answer's, so that it is told apart. */
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Default time for an answer, on top of the wait of a long poll. */
+const DEFAULT_TIMEOUT_MS = 2_000;
+/** Default bound of the records in one answer. */
+const DEFAULT_LIMIT = 256;
+
+/** Code of the failure when an answer is above `MAX_ANSWER_BYTES`. */
+const TOO_LARGE_CODE = 'UND_ERR_RES_EXCEEDED_MAX_SIZE';
+
+/** Codes of failures before anything was sent. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'EAI_AGAIN',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'CLOSED',
+]);
+
+const offsetSchema = z.int().min(1);
+const appendedSchema = z.object({offset: offsetSchema});
+const expiredSchema = z.object({first: offsetSchema});
+const batchSchema = z.object({
+  next: offsetSchema,
+  records: z.array(z.object({offset: offsetSchema, record: z.unknown()})),
+});
+
+/** Failure of an append. */
+export type AppendError = ReturnType<
+  typeof ERRORS.logUnavailable | typeof ERRORS.appendUncertain
+>;
+
+/** Failure of a read. */
+export type ReadError = ReturnType<
+  typeof ERRORS.logUnavailable | typeof ERRORS.logExpired
+>;
+
+/** Records from an offset on, without gaps. */
+export interface LogBatch {
+  /** Offset after the last record of the batch. */
+  readonly next: number;
+  readonly records: readonly StoredRecord[];
+  /** True when the stream had no further record at the time of the answer. */
+  readonly atEnd: boolean;
+}
+
+/** Settings of a client. */
+export interface LogClientOptions {
+  /** Base URL, for example `http://192.0.2.1:7000`. */
+  readonly endpoint: string;
+  /** Name of the deployment's stream. */
+  readonly stream: string;
+  /** Time for an answer, on top of the wait of a long poll. */
+  readonly timeoutMs?: number;
+}
+
+/** Settings of one append. */
+export interface AppendOptions {
+  /** Overrides the client's setting. */
+  readonly timeoutMs?: number;
+  /** Gives up; the append then counts as uncertain. */
+  readonly signal?: AbortSignal;
+}
+
+/** Settings of one read. */
+export interface ReadOptions {
+  /** Largest number of records. */
+  readonly limit?: number;
+  /** Longest wait for a record when there is none; 0 answers at once. */
+  readonly waitMs?: number;
+  /** Overrides the client's setting. */
+  readonly timeoutMs?: number;
+  /** Gives up. */
+  readonly signal?: AbortSignal;
+}
+
+interface Answer {
+  readonly status: number;
+  /** Undefined when the body is not JSON. */
+  readonly body: unknown;
+}
+
+interface Failure {
+  readonly code: string;
+  readonly detail: string;
+}
+
+const CLOSED: Failure = {code: 'CLOSED', detail: 'client is closed'};
+
+/** Client of one stream. */
+export class LogClient {
+  private readonly pool: Pool;
+  private closed = false;
+  private readonly path: string;
+  /** Time for an answer, on top of the wait of a long poll. */
+  readonly timeoutMs: number;
+
+  /**
+   * @param options - Endpoint, stream and time limit.
+   * @throws TypeError when the endpoint is no HTTP URL.
+   */
+  constructor({endpoint, stream, timeoutMs}: LogClientOptions) {
+    this.timeoutMs = timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.path = `/streams/${encodeURIComponent(stream)}/records`;
+    this.pool = new Pool(endpoint, {
+      connections: CONNECTIONS,
+      maxResponseSize: MAX_ANSWER_BYTES,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      // Every request has its own time limit.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  /**
+   * Appends a record.
+   *
+   * @param record - The record.
+   * @param options - Time limit and signal.
+   * @returns The record's offset; `log-unavailable` when it was certainly not
+   * appended; `append-uncertain` when it may have been.
+   */
+  async append(
+    record: LogRecord,
+    {timeoutMs = this.timeoutMs, signal}: AppendOptions = {},
+  ): Promise<Result<number, AppendError>> {
+    const body = JSON.stringify({record});
+    const answer = await this.call('POST', this.path, timeoutMs, signal, body);
+    if (answer.isErr) {
+      const {code, detail} = answer.error;
+      return Result.err(
+        NOT_SENT_CODES.has(code)
+          ? ERRORS.logUnavailable(detail)
+          : ERRORS.appendUncertain(record.id, detail),
+      );
+    }
+    return readAppended(record.id, answer.value);
+  }
+
+  /**
+   * Reads records.
+   *
+   * @param from - First offset wanted, at least 1.
+   * @param options - Limits, wait and signal.
+   * @returns A batch, empty when there is no record yet; `log-expired` with
+   * the oldest offset; or `log-unavailable`, also for answers that break the
+   * protocol.
+   */
+  async read(
+    from: number,
+    options: ReadOptions = {},
+  ): Promise<Result<LogBatch, ReadError>> {
+    const {limit = DEFAULT_LIMIT, waitMs = 0, signal} = options;
+    const timeoutMs = (options.timeoutMs ?? this.timeoutMs) + waitMs;
+    const path = `${this.path}?from=${from}&limit=${limit}&waitMs=${waitMs}`;
+    const answer = await this.call('GET', path, timeoutMs, signal);
+    if (answer.isOk) return readBatch(from, limit, answer.value);
+    const {code, detail} = answer.error;
+    // Snapshots are large; fewer of them fit.
+    if (code === TOO_LARGE_CODE && limit > 1) {
+      return this.read(from, {...options, limit: Math.ceil(limit / 4)});
+    }
+    return Result.err(ERRORS.logUnavailable(detail));
+  }
+
+  /** Breaks open requests and closes the connections. */
+  async close(): Promise<void> {
+    this.closed = true;
+    await this.pool.destroy();
+  }
+
+  private async call(
+    method: 'GET' | 'POST',
+    path: string,
+    timeoutMs: number,
+    signal: AbortSignal | undefined,
+    body: string | null = null,
+  ): Promise<Result<Answer, Failure>> {
+    if (this.closed) return Result.err(CLOSED);
+    const limit = limitTime(timeoutMs, signal);
+    try {
+      const response = await this.pool.request({
+        method,
+        path,
+        body,
+        headers: body === null ? {} : {'content-type': 'application/json'},
+        signal: limit.signal,
+      });
+      const text = await response.body.text();
+      return Result.ok({status: response.statusCode, body: parseJson(text)});
+    } catch (error) {
+      return Result.err(describeFailure(error));
+    } finally {
+      limit.release();
+    }
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+// `AbortSignal.any` keeps its result reachable from a long-lived signal, so a
+// follower that reads for days would leak one per read.
+function limitTime(timeoutMs: number, signal: AbortSignal | undefined) {
+  const controller = new AbortController();
+  const stop = () => controller.abort(new Error('given up'));
+  const expire = () =>
+    controller.abort(new Error(`no answer within ${Math.ceil(timeoutMs)} ms`));
+  const timer = setTimeout(expire, timeoutMs);
+  signal?.addEventListener('abort', stop, {once: true});
+  if (signal?.aborted) stop();
+  return {
+    signal: controller.signal,
+    release: () => {
+      clearTimeout(timer);
+      signal?.removeEventListener('abort', stop);
+    },
+  };
+}
+
+function describeFailure(error: unknown): Failure {
+  if (!(error instanceof Error)) return {code: '', detail: String(error)};
+  const code = 'code' in error ? String(error.code) : error.name;
+  return {code, detail: `${code}: ${error.message}`};
+}
+
+function readAppended(
+  id: string,
+  {status, body}: Answer,
+): Result<number, AppendError> {
+  const appended = appendedSchema.safeParse(body);
+  if (status === 201 && appended.success) {
+    return Result.ok(appended.data.offset);
+  }
+  // 503 states an outage and 4xx a refusal. Anything else may come from a
+  // party between us and a service that took the record.
+  return Result.err(
+    status === 503 || (status >= 400 && status < 500)
+      ? ERRORS.logUnavailable(`status ${status}`)
+      : ERRORS.appendUncertain(id, `status ${status}`),
+  );
+}
+
+function readBatch(
+  from: number,
+  limit: number,
+  {status, body}: Answer,
+): Result<LogBatch, ReadError> {
+  if (status === 410) {
+    const expired = expiredSchema.safeParse(body);
+    return Result.err(
+      expired.success && expired.data.first > from
+        ? ERRORS.logExpired(expired.data.first)
+        : ERRORS.logUnavailable('malformed answer with status 410'),
+    );
+  }
+  if (status !== 200) {
+    return Result.err(ERRORS.logUnavailable(`status ${status}`));
+  }
+  const batch = batchSchema.safeParse(body);
+  if (!batch.success || !isContiguous(from, batch.data)) {
+    return Result.err(ERRORS.logUnavailable('malformed batch'));
+  }
+  const {records} = batch.data;
+  const next = from + records.length;
+  const atEnd = records.length < limit && batch.data.next === next;
+  return Result.ok({next, records, atEnd});
+}
+
+// A reader that misses a record would disagree with all others for good. A
+// service may state the end of the stream as `next` when there are more.
+function isContiguous(
+  from: number,
+  {next, records}: z.infer<typeof batchSchema>,
+): boolean {
+  const end = from + records.length;
+  return (
+    (records.length > 0 ? next >= end : next === end) &&
+    records.every(({offset}, index) => offset === from + index)
+  );
+}
--- /dev/null
+++ b/packages/log/test/fake-log.ts
@@ -0,0 +1,138 @@
+/** Log service of section 5.1 of the design, with faults on demand. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** What happens to one request instead of the normal answer. */
+export type Fault =
+  | {kind: 'answer'; status: number; body: string}
+  /** No answer; an append takes effect when `applies` is set. */
+  | {kind: 'silent'; applies: boolean}
+  /** The connection breaks; an append takes effect when `applies` is set. */
+  | {kind: 'reset'; applies: boolean}
+  | {kind: 'slow'; delayMs: number};
+
+export const OUTAGE: Fault = {kind: 'answer', status: 503, body: '{}'};
+
+interface Call {
+  method: string;
+  from: number;
+  limit: number;
+  waitMs: number;
+}
+
+export class FakeLog {
+  /** Records from `first` on. */
+  records: unknown[] = [];
+  first = 1;
+  /** Fault of the next requests of a kind, in order. */
+  readonly faults: {POST: Fault[]; GET: Fault[]} = {POST: [], GET: []};
+  /** Fault of every request, while set. */
+  down: Fault | null = null;
+  readonly calls: Call[] = [];
+  private readonly server: Server;
+  private readonly waiters = new Set<() => void>();
+
+  private constructor() {
+    this.server = createServer((request, response) => {
+      void this.handle(request, response);
+    });
+  }
+
+  static async start(): Promise<FakeLog> {
+    const fake = new FakeLog();
+    await new Promise<void>(done => {
+      fake.server.listen(0, '127.0.0.1', done);
+    });
+    return fake;
+  }
+
+  get endpoint(): string {
+    const {port} = this.server.address() as AddressInfo;
+    return `http://127.0.0.1:${port}`;
+  }
+
+  get next(): number {
+    return this.first + this.records.length;
+  }
+
+  append(record: unknown): number {
+    this.records.push(record);
+    for (const wake of [...this.waiters]) wake();
+    return this.next - 1;
+  }
+
+  /** Drops the records before an offset. */
+  expireBefore(first: number): void {
+    this.records.splice(0, first - this.first);
+    this.first = first;
+  }
+
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise(done => this.server.close(done));
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const method = request.method as 'GET' | 'POST';
+    const url = new URL(request.url!, 'http://log');
+    const number = (name: string) => Number(url.searchParams.get(name));
+    const [from, limit] = [number('from'), number('limit')];
+    const waitMs = number('waitMs');
+    this.calls.push({method, from, limit, waitMs});
+    const body: Buffer[] = [];
+    for await (const chunk of request) body.push(chunk as Buffer);
+    const text = Buffer.concat(body).toString();
+    const fault = this.down ?? this.faults[method].shift();
+    const append = () => this.append(JSON.parse(text).record);
+    if (fault?.kind === 'slow') {
+      await new Promise(done => setTimeout(done, fault.delayMs));
+    } else if (fault?.kind === 'answer') {
+      response.writeHead(fault.status).end(fault.body);
+      return;
+    } else if (fault !== undefined) {
+      if (method === 'POST' && fault.applies) append();
+      if (fault.kind === 'reset') request.socket.destroy();
+      return;
+    }
+    if (method === 'POST') {
+      response.writeHead(201).end(JSON.stringify({offset: append()}));
+      return;
+    }
+    if (from === this.next) await this.waitForRecord(waitMs);
+    this.answerRead(response, from, limit);
+  }
+
+  private answerRead(response: ServerResponse, from: number, limit: number) {
+    const {first} = this;
+    if (from < first) {
+      response.writeHead(410).end(JSON.stringify({first}));
+      return;
+    }
+    const start = from - first;
+    const records = this.records
+      .slice(start, start + limit)
+      .map((record, index) => ({offset: from + index, record}));
+    const next = from + records.length;
+    response.writeHead(200).end(JSON.stringify({first, next, records}));
+  }
+
+  private async waitForRecord(waitMs: number): Promise<void> {
+    await new Promise<void>(done => {
+      const finish = () => {
+        clearTimeout(timer);
+        this.waiters.delete(finish);
+        done();
+      };
+      const timer = setTimeout(finish, waitMs);
+      this.waiters.add(finish);
+    });
+  }
+}
--- /dev/null
+++ b/packages/log/test/log-client.test.ts
@@ -0,0 +1,245 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import type {LogRecord} from '@wisteriarun/core';
+import {LogAppender, LogClient} from '@wisteriarun/log';
+import {FakeLog, OUTAGE, type Fault} from './fake-log.js';
+
+const backoff = {firstMs: 2, maxMs: 10};
+// Longer than vitest's default, for machines under load.
+const eventually = <T>(read: () => T) => expect.poll(read, {timeout: 5_000});
+
+let fake: FakeLog;
+let client: LogClient;
+
+beforeEach(async () => {
+  fake = await FakeLog.start();
+  const {endpoint} = fake;
+  client = new LogClient({endpoint, stream: 'test', timeoutMs: 300});
+});
+
+afterEach(async () => {
+  await client.close();
+  await fake.close();
+});
+
+function term(id: string): LogRecord {
+  return {
+    kind: 'term',
+    id,
+    author: 'a',
+    zone: 'z',
+    authorZone: 'z',
+    baseTerm: 0,
+  };
+}
+
+const answer = (status: number, body: unknown): Fault => ({
+  kind: 'answer',
+  status,
+  body: typeof body === 'string' ? body : JSON.stringify(body),
+});
+
+const kindOf = (result: {isErr: boolean; error?: {kind: string}}) =>
+  result.isErr ? result.error!.kind : 'ok';
+
+describe('LogClient', () => {
+  it('appends and reads back in order', async () => {
+    expect((await client.append(term('a'))).unwrapOr(0)).toBe(1);
+    expect((await client.append(term('b'))).unwrapOr(0)).toBe(2);
+    const one = (await client.read(1, {limit: 1})).unwrapOr(null);
+    expect(one).toMatchObject({next: 2, atEnd: false});
+    const rest = (await client.read(2)).unwrapOr(null);
+    expect(rest).toEqual({
+      next: 3,
+      atEnd: true,
+      records: [{offset: 2, record: term('b')}],
+    });
+  });
+
+  it('waits for a record with a long poll', async () => {
+    const read = client.read(1, {waitMs: 5_000});
+    await eventually(() => fake.calls.length).toBe(1);
+    fake.append(term('a'));
+    expect((await read).unwrapOr(null)?.records).toHaveLength(1);
+  });
+
+  it('allows a long poll its wait on top of the time limit', async () => {
+    const batch = (await client.read(1, {waitMs: 500})).unwrapOr(null);
+    expect(batch).toEqual({next: 1, atEnd: true, records: []});
+  });
+
+  it.each<[string, Fault, string]>([
+    ['an outage', OUTAGE, 'log-unavailable'],
+    ['a refusal', answer(400, {}), 'log-unavailable'],
+    ['another server error', answer(500, {}), 'append-uncertain'],
+    ['a foreign success', answer(200, 'ok'), 'append-uncertain'],
+    ['an answer without offset', answer(201, {}), 'append-uncertain'],
+    ['offset 0', answer(201, {offset: 0}), 'append-uncertain'],
+    ['a lost answer', {kind: 'reset', applies: true}, 'append-uncertain'],
+    ['no answer', {kind: 'silent', applies: true}, 'append-uncertain'],
+  ])('types the failure of an append: %s', async (_, fault, kind) => {
+    fake.faults.POST.push(fault);
+    expect(kindOf((await client.append(term('a'))) as never)).toBe(kind);
+  });
+
+  const record = term('a');
+  it.each<[string, Fault]>([
+    ['an outage', OUTAGE],
+    ['no answer', {kind: 'silent', applies: false}],
+    ['a broken connection', {kind: 'reset', applies: false}],
+    ['no JSON', answer(200, '{"first":1,')],
+    ['no batch', answer(200, {records: []})],
+    ['a gap', answer(200, {first: 1, next: 3, records: [{offset: 2, record}]})],
+    [
+      'a repeated offset',
+      answer(200, {
+        first: 1,
+        next: 3,
+        records: [
+          {offset: 1, record},
+          {offset: 1, record},
+        ],
+      }),
+    ],
+    ['a stream that went back', answer(200, {first: 1, next: 0, records: []})],
+    ['records left out', answer(200, {first: 1, next: 9, records: []})],
+    ['410 without an offset', answer(410, {})],
+    ['410 with an offset that has not expired', answer(410, {first: 1})],
+  ])('treats %s as an unavailable log', async (_, fault) => {
+    fake.faults.GET.push(fault);
+    const result = await client.read(1);
+    expect(kindOf(result as never)).toBe('log-unavailable');
+  });
+
+  it('names the oldest offset when records have expired', async () => {
+    for (const id of ['a', 'b', 'c']) fake.append(term(id));
+    fake.expireBefore(3);
+    expect(await client.read(1)).toMatchObject({
+      error: {kind: 'log-expired', firstOffset: 3},
+    });
+  });
+
+  it('asks for fewer records when an answer is too large', async () => {
+    const padding = 'x'.repeat(3 * 1024 ** 2);
+    for (let n = 0; n < 8; n += 1) fake.append({padding});
+    const batch = (await client.read(1, {timeoutMs: 5_000})).unwrapOr(null);
+    expect(batch).toMatchObject({next: 5, atEnd: false});
+    expect(fake.calls.map(call => call.limit)).toEqual([256, 64, 16, 4]);
+  });
+
+  it('reports an unreachable service as certainly not appended', async () => {
+    await fake.close();
+    const result = await client.append(term('a'));
+    expect(kindOf(result as never)).toBe('log-unavailable');
+    fake = await FakeLog.start();
+  });
+
+  it('breaks open requests on close and sends nothing afterwards', async () => {
+    const read = client.read(1, {waitMs: 5_000});
+    await eventually(() => fake.calls.length).toBe(1);
+    await client.close();
+    expect(kindOf((await read) as never)).toBe('log-unavailable');
+    const late = await client.append(term('a'));
+    expect(kindOf(late as never)).toBe('log-unavailable');
+    expect(fake.calls).toHaveLength(1);
+  });
+});
+
+describe('LogAppender', () => {
+  const append = (
+    request: Partial<Parameters<LogAppender['append']>[1]> = {},
+  ) =>
+    new LogAppender({client, backoff}).append(term('a'), {
+      from: 1,
+      timeoutMs: 3_000,
+      ...request,
+    });
+  const copies = () =>
+    fake.records.filter(record => (record as LogRecord).id === 'a').length;
+
+  it.each<[string, Fault]>([
+    ['reset', {kind: 'reset', applies: true}],
+    ['silent', {kind: 'silent', applies: true}],
+  ])('finds a record whose answer was lost: %s', async (_, fault) => {
+    fake.append(term('x'));
+    fake.faults.POST.push(fault);
+    expect((await append()).unwrapOr(0)).toBe(2);
+    expect(copies()).toBe(1);
+  });
+
+  it('searches through an outage before it appends again', async () => {
+    fake.faults.POST.push({kind: 'reset', applies: true});
+    fake.faults.GET.push(OUTAGE, {kind: 'silent', applies: false}, OUTAGE);
+    expect((await append()).unwrapOr(0)).toBe(1);
+    expect(copies()).toBe(1);
+  });
+
+  it('searches more than one batch', async () => {
+    for (let n = 0; n < 300; n += 1) fake.append(term(`x-${n}`));
+    fake.faults.POST.push({kind: 'reset', applies: true});
+    expect((await append()).unwrapOr(0)).toBe(301);
+    expect(copies()).toBe(1);
+  });
+
+  it('appends again when the record is not on the stream', async () => {
+    fake.faults.POST.push({kind: 'reset', applies: false}, OUTAGE);
+    expect((await append()).unwrapOr(0)).toBe(1);
+    expect(copies()).toBe(1);
+  });
+
+  it('does not append again after a record that makes it stale', async () => {
+    fake.append(term('winner'));
+    fake.faults.POST.push({kind: 'reset', applies: false});
+    const result = await append({
+      isStaleAfter: ({record}) => (record as LogRecord).id === 'winner',
+    });
+    expect(result).toMatchObject({
+      error: {kind: 'stale-base', currentOffset: 1},
+    });
+    expect(copies()).toBe(0);
+  });
+
+  it('stays uncertain when the records that could tell have expired', async () => {
+    for (const id of ['x', 'y']) fake.append(term(id));
+    fake.expireBefore(3);
+    fake.faults.POST.push({kind: 'reset', applies: true});
+    expect(kindOf((await append()) as never)).toBe('append-uncertain');
+    expect(copies()).toBe(1);
+  });
+
+  it('ends at the deadline, as unavailable when nothing was sent', async () => {
+    fake.down = OUTAGE;
+    const startMs = performance.now();
+    const result = await append({timeoutMs: 700});
+    expect(kindOf(result as never)).toBe('log-unavailable');
+    expect(performance.now() - startMs).toBeLessThan(1_500);
+    expect(fake.calls.length).toBeGreaterThan(5);
+  });
+
+  it('starts no try that the deadline would cut short', async () => {
+    // Such a try would end as uncertain although the service refuses it.
+    fake.down = OUTAGE;
+    let nowMs = 0;
+    const timing = {
+      nowMs: () => nowMs,
+      random: () => 1,
+      sleep: async (ms: number) => void (nowMs += ms),
+    };
+    const appender = new LogAppender({
+      client,
+      timing,
+      backoff: {firstMs: 50, maxMs: 50},
+    });
+    await appender.append(term('a'), {from: 1, timeoutMs: 200});
+    expect(nowMs).toBe(100);
+    expect(fake.calls).toHaveLength(3);
+  });
+
+  it('stays uncertain when a later try was refused', async () => {
+    fake.faults.POST.push(
+      {kind: 'reset', applies: false},
+      ...Array<Fault>(500).fill(OUTAGE),
+    );
+    const result = await append({timeoutMs: 300});
+    expect(kindOf(result as never)).toBe('append-uncertain');
+  });
+});
--- /dev/null
+++ b/packages/log/test/log-follower.test.ts
@@ -0,0 +1,280 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {
+  emptyState,
+  fold,
+  generateSigner,
+  signBundle,
+  toImage,
+  type RouterState,
+} from '@wisteriarun/core';
+import {
+  LogClient,
+  LogFollower,
+  recover,
+  type FollowerStatus,
+} from '@wisteriarun/log';
+import {FakeLog, OUTAGE, type Fault} from './fake-log.js';
+
+// Longer than vitest's default, for machines under load.
+const eventually = <T>(read: () => T) => expect.poll(read, {timeout: 5_000});
+
+let fake: FakeLog;
+let client: LogClient;
+let follower: LogFollower;
+let offsets: number[];
+let statuses: FollowerStatus[];
+
+beforeEach(async () => {
+  fake = await FakeLog.start();
+  const {endpoint} = fake;
+  client = new LogClient({endpoint, stream: 'test', timeoutMs: 300});
+});
+
+afterEach(async () => {
+  await follower?.close();
+  await client.close();
+  await fake.close();
+});
+
+function follow(options: {from?: number; limit?: number} = {}): void {
+  offsets = [];
+  statuses = [];
+  follower = new LogFollower({
+    client,
+    from: 1,
+    waitMs: 50,
+    backoff: {firstMs: 5, maxMs: 20},
+    ...options,
+  });
+  void follower.batches.observe(batch =>
+    offsets.push(...batch.map(stored => stored.offset)),
+  );
+  void follower.statuses.observe(status => statuses.push(status));
+  follower.start();
+}
+
+function appendMany(count: number): void {
+  for (let n = 0; n < count; n += 1) fake.append({n});
+}
+
+const range = (from: number, to: number) =>
+  Array.from({length: to - from + 1}, (_, index) => from + index);
+
+describe('LogFollower', () => {
+  it('passes every record on once and in order', async () => {
+    appendMany(7);
+    follow({limit: 3});
+    await eventually(() => offsets).toEqual(range(1, 7));
+    appendMany(2);
+    await eventually(() => offsets).toEqual(range(1, 9));
+  });
+
+  const garbage: Fault = {kind: 'answer', status: 200, body: '{"next":'};
+  it.each<[string, Fault]>([
+    ['outage', OUTAGE],
+    ['no answers', {kind: 'silent', applies: false}],
+    ['broken connections', {kind: 'reset', applies: false}],
+    ['garbage', garbage],
+  ])('reports the log as down and reads on after: %s', async (_, fault) => {
+    appendMany(2);
+    follow();
+    await eventually(() => follower.status.next).toBe(3);
+    fake.down = fault;
+    await eventually(() => follower.status.up).toBe(false);
+    expect(follower.status.error?.kind).toBe('log-unavailable');
+    appendMany(2);
+    const {currentAtMs} = follower.status;
+    fake.down = null;
+    await eventually(() => offsets).toEqual(range(1, 4));
+    await eventually(() => follower.status.up).toBe(true);
+    expect(follower.status.currentAtMs).toBeGreaterThan(currentAtMs!);
+  });
+
+  it('counts as current only from the start of a read to the end', async () => {
+    appendMany(6);
+    fake.faults.GET.push({kind: 'slow', delayMs: 60});
+    const beforeMs = performance.now();
+    follow({limit: 3});
+    await eventually(() => offsets).toEqual(range(1, 6));
+    await eventually(() => follower.status.currentAtMs).not.toBeNull();
+    // Full batches may have records after them, so they prove nothing.
+    expect(statuses[0]).toMatchObject({next: 4, currentAtMs: null});
+    expect(statuses[1]).toMatchObject({next: 7, currentAtMs: null});
+    const current = statuses.find(status => status.currentAtMs !== null)!;
+    expect(current.currentAtMs).toBeGreaterThan(beforeMs + 55);
+  });
+
+  it('does not count a slow answer as proof for the time of its arrival', async () => {
+    fake.down = {kind: 'slow', delayMs: 100};
+    follow();
+    await eventually(() => statuses.length).toBeGreaterThan(0);
+    const age = performance.now() - statuses[0]!.currentAtMs!;
+    expect(age).toBeGreaterThan(95);
+  });
+
+  it('stops when its next record has expired', async () => {
+    appendMany(5);
+    fake.expireBefore(4);
+    follow({from: 2});
+    await eventually(() => follower.status.error).toEqual({
+      kind: 'log-expired',
+      firstOffset: 4,
+    });
+    expect(fake.calls).toHaveLength(1);
+    expect(offsets).toEqual([]);
+  });
+
+  it('does not poll in a tight loop when the service never waits', async () => {
+    const body = JSON.stringify({first: 1, next: 1, records: []});
+    fake.down = {kind: 'answer', status: 200, body};
+    follow();
+    await new Promise(done => setTimeout(done, 300));
+    expect(fake.calls.length).toBeLessThan(10);
+  });
+
+  it('keeps serving other observers when one throws', async () => {
+    follow();
+    const failed = follower.batches.observe(() => {
+      throw new Error('observer');
+    });
+    appendMany(1);
+    await expect(failed).rejects.toThrow('observer');
+    appendMany(1);
+    await eventually(() => offsets).toEqual([1, 2]);
+  });
+
+  it('ends its streams and its long poll on close', async () => {
+    follow();
+    const ended = follower.batches.drain();
+    await eventually(() => fake.calls.length).toBeGreaterThan(0);
+    await follower.close();
+    await ended;
+    await follower.batches.drain();
+    const calls = fake.calls.length;
+    appendMany(1);
+    await new Promise(done => setTimeout(done, 100));
+    expect(fake.calls).toHaveLength(calls);
+  });
+});
+
+describe('recover', () => {
+  const root = generateSigner('root').unwrapOrElse(() => {
+    throw new Error('no signer');
+  });
+  const trust = [root.signer];
+  const payload = JSON.stringify({
+    deployment: 'test',
+    version: 1,
+    zones: ['za'],
+    services: [{id: 'kv', shards: 2}],
+    batches: [{id: 'b1', state: 'serving'}],
+    servers: [
+      {
+        id: 's1',
+        service: 'kv',
+        batch: 'b1',
+        zone: 'za',
+        host: '192.0.2.1',
+        port: 1,
+        slots: 1,
+        connections: 1,
+      },
+    ],
+    signers: trust,
+  });
+  const signed = signBundle(payload, 'root', root.privateKeyPem).unwrapOr(null);
+
+  function term(id: string) {
+    const [zone, author] = ['za', 'vm'];
+    return {kind: 'term', id, author, zone, authorZone: zone, baseTerm: 0};
+  }
+
+  /** Appends a bundle at 1, terms at 2 and 3, and returns the state at 3. */
+  function fill(): RouterState {
+    fake.append({
+      kind: 'bundle',
+      id: 'b',
+      author: 'op',
+      baseVersion: 0,
+      signed,
+    });
+    fake.append(term('t1'));
+    fake.append(term('t2'));
+    return foldFake(emptyState(), 1);
+  }
+
+  function foldFake(state: RouterState, from: number): RouterState {
+    return fake.records
+      .slice(from - fake.first)
+      .reduce(
+        (before: RouterState, record, index) =>
+          fold(before, {offset: from + index, record}, trust).state,
+        state,
+      );
+  }
+
+  function snapshot(state: RouterState, upTo = state.offset) {
+    const image = toImage(state);
+    return {kind: 'snapshot', id: 's', author: 'vm', upTo, image};
+  }
+
+  it('starts empty on a new stream', async () => {
+    expect((await recover(client, trust)).unwrapOr(null)).toEqual({
+      state: emptyState(),
+      from: 1,
+      snapshotOffset: null,
+    });
+  });
+
+  it('uses the latest snapshot and the records since its state', async () => {
+    const state = fill();
+    fake.append(term('t3'));
+    fake.append(snapshot(state));
+    fake.append(term('t4'));
+    fake.expireBefore(3);
+    const recovery = (await recover(client, trust)).unwrapOr(null)!;
+    expect(recovery).toEqual({state, from: 4, snapshotOffset: 5});
+    fake.expireBefore(4);
+    expect((await recover(client, trust)).isOk).toBe(true);
+  });
+
+  it('falls back to an older snapshot when the latest is unusable', async () => {
+    const state = fill();
+    fake.append(snapshot(state));
+    fake.append(snapshot(state, 2));
+    fake.append({...snapshot(state), image: {}});
+    fake.append({...snapshot(state), upTo: 99});
+    fake.expireBefore(2);
+    const recovery = (await recover(client, trust)).unwrapOr(null);
+    expect(recovery).toEqual({state, from: 4, snapshotOffset: 4});
+  });
+
+  it('refuses a stream that has lost its start and has no snapshot', async () => {
+    fill();
+    fake.expireBefore(2);
+    expect(await recover(client, trust)).toMatchObject({
+      error: {kind: 'snapshot-missing', firstOffset: 2},
+    });
+    fake.expireBefore(4);
+    expect(await recover(client, trust)).toMatchObject({
+      error: {kind: 'snapshot-missing', firstOffset: 4},
+    });
+  });
+
+  it('refuses a snapshot whose following records have expired', async () => {
+    const state = fill();
+    fake.append(term('t3'));
+    fake.append(snapshot(state));
+    fake.expireBefore(5);
+    expect(await recover(client, trust)).toMatchObject({
+      error: {kind: 'snapshot-missing', firstOffset: 5},
+    });
+  });
+
+  it('reports a log that is down, so that the VM asks a peer', async () => {
+    fake.down = OUTAGE;
+    expect(await recover(client, trust)).toMatchObject({
+      error: {kind: 'log-unavailable'},
+    });
+  });
+});
