Tie drains, stops and pending appends to their terms

Cause, found by reading: a drain or a stop ordered by an assigner that lost its term was never taken back, so the shard or server stayed without a dispatcher; a table that was sent while a stop was in progress made the stopped dispatcher active again under the fence that the new one replaces, which is unsafe for servers that do not check; the first table of a new term dropped all rows of servers that had not answered yet; and an append whose fate stayed uncertain blocked its zone for ever.

Ruled out: dropping drains on a timer, because a drain may last as long as an upload.

Change: drains and stops carry the term of their order; rows stay until a newer table names another dispatcher; an uncertain append is repeated with the same record until its fate is known, and the fold rejects a second copy.

--- a/packages/daemon/src/control/assigner-runner.ts
+++ b/packages/daemon/src/control/assigner-runner.ts
@@ -239,7 +239,8 @@
   private append(zone: string, assigner: Assigner, record: LogRecord): void {
     const recordId = record.id;
     this.ownAppends.set(recordId, zone);
-    void this.ports.append(record).then(onLog => {
+    const isFolded = () => !this.ownAppends.has(recordId);
+    void this.ports.appendUntilKnown(record, isFolded).then(onLog => {
       if (onLog || !this.ownAppends.delete(recordId)) return;
       assigner.onAppendResult({recordId, accepted: false});
     });
--- a/packages/daemon/src/control/dispatch-directory.ts
+++ b/packages/daemon/src/control/dispatch-directory.ts
@@ -1,16 +1,28 @@
-/** Latest dispatch table of every zone, as received from its assigner. */
+/** Dispatchers of all servers, as received from the zones' assigners. */
 import type {DispatchRow, DispatchTable} from '@wisteriarun/core';
 
-/** Orders tables of one zone by term, then by version. */
-function isNewer(table: DispatchTable, known: DispatchTable): boolean {
+type TableAge = Pick<DispatchTable, 'term' | 'version'>;
+
+/** A row with the age of the table that it came from. */
+export interface DatedRow extends DispatchRow {
+  readonly zone: string;
+  readonly term: number;
+}
+
+function isNewer(table: TableAge, known: TableAge | undefined): boolean {
+  if (!known) return true;
   if (table.term !== known.term) return table.term > known.term;
   return table.version > known.version;
 }
 
-/** Tells which entry VM dispatches for a server. */
+/**
+ * Tells which entry VM dispatches for a server. A row stays until a newer table
+ * names another dispatcher: the first table of a new term lists only servers
+ * that have answered yet, and the fence makes an outdated row harmless.
+ */
 export class DispatchDirectory {
-  private readonly tables = new Map<string, DispatchTable>();
-  private readonly rows = new Map<string, DispatchRow>();
+  private readonly ages = new Map<string, TableAge>();
+  private readonly rows = new Map<string, DatedRow>();
 
   /**
    * Stores a table if it is newer than the known one of its zone.
@@ -19,31 +31,48 @@
    * @returns True when the table was stored.
    */
   update(table: DispatchTable): boolean {
-    const known = this.tables.get(table.zone);
-    if (known && !isNewer(table, known)) return false;
-    for (const row of known?.rows ?? []) this.rows.delete(row.server);
-    for (const row of table.rows) this.rows.set(row.server, row);
-    this.tables.set(table.zone, table);
+    const {zone, term, version} = table;
+    if (!isNewer(table, this.ages.get(zone))) return false;
+    this.ages.set(zone, {term, version});
+    for (const row of table.rows) {
+      this.rows.set(row.server, {...row, zone, term});
+    }
     return true;
   }
 
+  /**
+   * Drops rows of servers that are not in the bundle any more.
+   *
+   * @param isListed - Whether the bundle in force lists a server.
+   */
+  prune(isListed: (server: string) => boolean): void {
+    for (const server of this.rows.keys()) {
+      if (!isListed(server)) this.rows.delete(server);
+    }
+  }
+
   /**
    * Finds the dispatcher of a server.
    *
    * @param server - Server id.
    * @returns The row, or null when no table names the server.
    */
-  lookup(server: string): DispatchRow | null {
+  lookup(server: string): DatedRow | null {
     return this.rows.get(server) ?? null;
   }
 
   /** All rows, in no particular order. */
-  all(): Iterable<DispatchRow> {
+  all(): Iterable<DatedRow> {
     return this.rows.values();
   }
 
-  /** All known tables, one for each zone. */
-  known(): Iterable<DispatchTable> {
-    return this.tables.values();
+  /** One table for each zone with all rows known, for a VM that has joined. */
+  *tables(): Generator<DispatchTable> {
+    for (const [zone, age] of this.ages) {
+      const rows = [...this.rows.values()]
+        .filter(row => row.zone === zone)
+        .map(({server, dispatcher, fence}) => ({server, dispatcher, fence}));
+      yield {kind: 'dispatch-table', zone, ...age, rows};
+    }
   }
 }
--- a/packages/daemon/src/control/log-tail.ts
+++ b/packages/daemon/src/control/log-tail.ts
@@ -8,6 +8,9 @@
 /** Wait between two attempts to recover from the log. */
 const RECOVER_RETRY_MS = 500;
 
+/** What is known about a record after an append. */
+export type AppendState = 'appended' | 'absent' | 'uncertain';
+
 /** Where the log is and what the tail feeds. */
 export interface LogTailOptions {
   readonly endpoint: string;
@@ -74,17 +77,41 @@
   }
 
   /**
-   * Appends a record.
+   * Appends a record, for a limited time.
    *
    * @param record - Record with a unique id.
-   * @returns False when the record is certainly not on the log.
+   * @returns What is known about the record.
    */
-  async append(record: LogRecord): Promise<boolean> {
+  async append(record: LogRecord): Promise<AppendState> {
     const appended = await this.appender.append(record, {
       from: this.options.replica.state.offset + 1,
       timeoutMs: APPEND_TIMEOUT_MS,
     });
-    return appended.isOk || appended.error.kind === 'append-uncertain';
+    if (appended.isOk) return 'appended';
+    return appended.error.kind === 'append-uncertain' ? 'uncertain' : 'absent';
+  }
+
+  /**
+   * Appends a record until its fate is known. An uncertain append may still
+   * take effect, so giving it up would leave its author waiting for ever. A
+   * second copy is rejected by the fold.
+   *
+   * @param record - Record with a unique id.
+   * @param isFolded - Whether the record has been read from the log.
+   * @returns False when the record is certainly not on the log.
+   */
+  async appendUntilKnown(
+    record: LogRecord,
+    isFolded: () => boolean,
+  ): Promise<boolean> {
+    let uncertain = false;
+    while (!this.closed && !isFolded()) {
+      const state = await this.append(record);
+      if (state === 'appended') return true;
+      if (state === 'absent' && !uncertain) return false;
+      uncertain = true;
+    }
+    return true;
   }
 
   /** Stops following; a pending append may still take effect. */
--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -7,6 +7,7 @@
 import type {PermissionTable} from './permissions.js';
 import type {RouteTable} from './route-table.js';
 import type {StateReplica} from './state-replica.js';
+import {ZoneOrders} from './zone-orders.js';
 
 type MessageOf<K extends PeerMessage['kind']> = Extract<PeerMessage, {kind: K}>;
 
@@ -29,6 +30,7 @@
 export class PeerDuties {
   /** Servers that this VM dispatches for according to the tables. */
   private dispatched = new Set<string>();
+  private readonly orders = new ZoneOrders();
 
   /**
    * @param options - Parts to act on.
@@ -67,11 +69,22 @@
    * @param vm - The peer.
    */
   greet(vm: string): void {
-    for (const table of this.options.directory.known()) this.send(vm, table);
+    for (const table of this.options.directory.tables()) this.send(vm, table);
     const records = this.options.dispatcher.exportCrashRecords();
     if (records.length > 0) this.send(vm, {kind: 'crash-record', records});
   }
 
+  /** Takes back what assigners of ended terms ordered. */
+  onStateChanged(): void {
+    const {dispatcher} = this.options;
+    const outdated = this.orders.takeOutdatedDrains(server =>
+      this.currentTermOf(server),
+    );
+    for (const {server, service, shard} of outdated) {
+      void dispatcher.setDrain(server, service, [shard], false);
+    }
+  }
+
   /**
    * Acts on one message.
    *
@@ -135,6 +148,7 @@
     const own = new Set<string>();
     for (const row of directory.all()) {
       if (row.dispatcher !== vm) continue;
+      if (this.orders.isStopped(row.server, row.fence, row.term)) continue;
       own.add(row.server);
       dispatcher.setDispatch(row.server, row.fence);
     }
@@ -149,6 +163,9 @@
     from: string,
     {server, next, term}: MessageOf<'dispatch-stop'>,
   ): Promise<void> {
+    if (term < this.currentTermOf(server)) return;
+    const row = this.options.directory.lookup(server);
+    if (row) this.orders.noteStop(server, row.fence, term);
     await this.options.dispatcher.stop(server);
     const byService = new Map<string, number[]>();
     for (const {service, shard} of this.options.routes.shardsOf(server)) {
@@ -167,6 +184,10 @@
     message: MessageOf<'shard-drain'>,
   ): Promise<void> {
     const {server, service, shards, next, term, drain} = message;
+    if (term < this.currentTermOf(server)) return;
+    for (const shard of shards) {
+      this.orders.noteDrain({server, service, shard, term}, drain);
+    }
     await this.options.dispatcher.setDrain(server, service, shards, drain);
     if (!drain) return;
     if (next !== null && next !== this.options.vm) {
@@ -175,12 +196,20 @@
     this.send(from, {kind: 'shard-drained', term, server, service, shards});
   }
 
+  /** Term of a server's zone in the folded state; 0 when there is none. */
+  private currentTermOf(server: string): number {
+    const {routes, replica} = this.options;
+    const zone = routes.server(server)?.zone ?? '';
+    return replica.state.terms.get(zone)?.term ?? 0;
+  }
+
   private handOver(next: string, service: string, shards: number[]): void {
     this.send(next, this.options.dispatcher.exportAttempts(service, shards));
   }
 
   private onPermission(from: string, message: MessageOf<'permission'>): void {
     const {permissions, clock} = this.options;
+    if (message.term < this.currentTermOf(message.server)) return;
     if (!permissions.update(message)) return;
     this.send(from, {
       kind: 'permission-ack',
--- a/packages/daemon/src/control/snapshot-writer.ts
+++ b/packages/daemon/src/control/snapshot-writer.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import type {LogRecord, RouterState, StateImage} from '@wisteriarun/core';
 import type {Clock} from '@wisteriarun/runtime';
+import type {AppendState} from './log-tail.js';
 import type {FoldedRecord} from './state-replica.js';
 
 /** Parts that the writer uses. */
@@ -14,7 +15,7 @@
   /** Zones whose assigner this process is. */
   readonly ownZones: () => readonly string[];
   readonly logAvailable: () => boolean;
-  readonly append: (record: LogRecord) => Promise<boolean>;
+  readonly append: (record: LogRecord) => Promise<AppendState>;
 }
 
 /**
@@ -50,14 +51,14 @@
     if (clock.monotonicMs() - this.lastSnapshotMs < intervalMs) return;
     this.pending = true;
     const state = image();
-    const appended = await append({
+    const result = await append({
       kind: 'snapshot',
       id: randomUUID(),
       author: vm,
       upTo: state.offset,
       image: state,
     });
-    if (appended) this.lastSnapshotMs = clock.monotonicMs();
+    if (result === 'appended') this.lastSnapshotMs = clock.monotonicMs();
     this.pending = false;
   }
 
--- a/packages/daemon/src/control/types.ts
+++ b/packages/daemon/src/control/types.ts
@@ -40,8 +40,12 @@
     request: LeaseRequest,
   ) => Promise<StatusResult>;
   readonly probe: (server: string) => Promise<StatusResult>;
+  readonly append: (record: LogRecord) => Promise<unknown>;
   /** Resolves to false when the record is certainly not on the log. */
-  readonly append: (record: LogRecord) => Promise<boolean>;
+  readonly appendUntilKnown: (
+    record: LogRecord,
+    isFolded: () => boolean,
+  ) => Promise<boolean>;
   readonly send: (vm: string, message: PeerMessage) => void;
   readonly publishTable: (table: DispatchTable) => void;
   readonly emit: (event: EventInput) => void;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -237,12 +237,15 @@
     this.routes.onChanged();
     this.dispatcher.onRoutesChanged();
     this.runner.onFolded(state, folded);
+    this.duties.onStateChanged();
     if (before.bundle !== state.bundle) this.onBundle(state);
   }
 
   private onBundle({bundle, offset}: RouterState): void {
     if (!bundle) return;
     this.servers.prune();
+    const listed = new Set(bundle.body.servers.map(({id}) => id));
+    this.directory.prune(server => listed.has(server));
     const {version} = bundle.body;
     this.emit({kind: 'bundle-in-force', offset, fields: {version}});
   }
@@ -366,6 +369,8 @@
       lease: (server, request) => servers.lease(server, request),
       probe: server => servers.probe(server),
       append: record => log.append(record),
+      appendUntilKnown: (record, isFolded) =>
+        log.appendUntilKnown(record, isFolded),
       send: (vm, message) => this.duties.send(vm, message),
       publishTable: table => this.duties.publishTable(table),
       emit: event => this.emit(event),
