--- a/packages/daemon/src/control/isolation.ts
+++ b/packages/daemon/src/control/isolation.ts
@@ -30,6 +30,7 @@
   const holder = record.kind === 'isolate' ? after : before;
   const own = holder.services.get(service)?.isolated.get(key);
   if (own === undefined) return;
-  if (record.kind === 'isolate') dispatcher.onIsolated(service, hashShard, own);
+  if (record.kind === 'isolate')
+    dispatcher.onIsolated(service, key, hashShard, own);
   else dispatcher.onMerged(service, own, hashShard);
 }
--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -166,16 +166,8 @@
     if (term < this.currentTermOf(server)) return;
     const row = this.options.directory.lookup(server);
     if (row) this.orders.noteStop(server, row.fence, term);
-    await this.options.dispatcher.stop(server);
-    const byService = new Map<string, number[]>();
-    for (const {service, shard} of this.options.routes.shardsOf(server)) {
-      const shards = byService.get(service) ?? [];
-      shards.push(shard);
-      byService.set(service, shards);
-    }
-    for (const [service, shards] of byService) {
-      this.handOver(next, service, shards);
-    }
+    const handovers = await this.options.dispatcher.stop(server);
+    for (const handover of handovers) this.send(next, handover);
     this.send(from, {kind: 'dispatch-stopped', server, term});
   }
 
