Check ownership under generated interleavings

Faults that overlap (pauses, restarts, delayed and repeated lease calls, stolen terms, partitions) are not covered by fault tables. A fast-check property generates them and prints its seed; the model judges acceptance by the server's own lease, and checks that no loss is decided while a lease runs and that no planned move cuts a request.

Two checks first counted records of a former term, which the fold refuses; they now apply to records of the current term only. A balance move with equal effect now goes to the less used server.

--- a/packages/core/src/core/ownership/placement.ts
+++ b/packages/core/src/core/ownership/placement.ts
@@ -173,14 +173,20 @@
   const top = servers.reduce((a, b) => (usage(b) > usage(a) ? b : a));
   let best: Move | null = null;
   let bestUsage = usage(top);
+  let bestTarget = Infinity;
   for (const p of placed) {
     if (p.server !== top.server || p.load <= 0 || !movable(p)) continue;
     const left = usage(top) - p.load / top.capacity;
     for (const t of servers) {
       if (t.server === top.server) continue;
-      const result = Math.max(left, usage(t) + p.load / t.capacity);
-      if (result >= bestUsage) continue;
+      const target = usage(t) + p.load / t.capacity;
+      const result = Math.max(left, target);
+      const better =
+        result < bestUsage ||
+        (best !== null && result === bestUsage && target < bestTarget);
+      if (!better) continue;
       bestUsage = result;
+      bestTarget = target;
       best = {
         service: p.service,
         shard: p.shard,
--- /dev/null
+++ b/packages/core/test/ownership/election.test.ts
@@ -0,0 +1,119 @@
+import {describe, expect, it} from 'vitest';
+import {
+  ELECTION_STAGGER_MS,
+  PEER_SILENT_MS,
+  ZONE_SILENT_MS,
+  decideElection,
+  type ElectionInput,
+  type PeerView,
+  type RouterState,
+} from '@wisteriarun/core';
+import {TestLog, makeBundle} from './fold.js';
+
+function state(holder?: string, holderZone = 'z1'): RouterState {
+  const log = new TestLog();
+  const servers = [{id: 's1'}];
+  log.append({
+    kind: 'bundle',
+    body: makeBundle({zones: ['z1', 'z2'], servers}),
+  });
+  if (holder) {
+    log.append({
+      kind: 'term',
+      author: holder,
+      zone: 'z1',
+      authorZone: holderZone,
+      baseTerm: 0,
+    });
+  }
+  return log.latest;
+}
+
+const peer = (vm: string, lastHeardAtMs: number, zone = 'z1'): PeerView => ({
+  vm,
+  zone,
+  lastHeardAtMs,
+  drainingSinceMs: null,
+});
+
+function decide(vm: string, zone: string, change: Partial<ElectionInput>) {
+  return decideElection({
+    self: {vm, zone, draining: false},
+    zone: 'z1',
+    nowMs: 10_000,
+    peers: [],
+    state: state('a'),
+    logAvailable: true,
+    observedSinceMs: 0,
+    termSeenAtMs: 0,
+    lastZoneRecordAtMs: null,
+    ...change,
+  });
+}
+
+describe('election in the zone', () => {
+  it('does not stand before the holder was silent long enough', () => {
+    const peers = [peer('a', 10_000 - PEER_SILENT_MS + 1)];
+    expect(decide('b', 'z1', {peers})).toBeNull();
+    const silent = [peer('a', 10_000 - PEER_SILENT_MS)];
+    expect(decide('b', 'z1', {peers: silent})?.baseTerm).toBe(2);
+  });
+
+  it('staggers candidates, so that two do not race in every loss', () => {
+    const at = (nowMs: number) =>
+      ['b', 'c'].filter(vm => {
+        const other = vm === 'b' ? 'c' : 'b';
+        const peers = [peer('a', 0), peer(other, nowMs)];
+        return decide(vm, 'z1', {nowMs, peers});
+      });
+    expect(at(PEER_SILENT_MS).length).toBe(1);
+    expect(at(PEER_SILENT_MS + ELECTION_STAGGER_MS).length).toBe(2);
+  });
+
+  it('keeps a draining VM or one without the log from standing', () => {
+    const self = {vm: 'b', zone: 'z1', draining: true};
+    expect(decide('b', 'z1', {self})).toBeNull();
+    expect(decide('b', 'z1', {logAvailable: false})).toBeNull();
+  });
+
+  it('takes over from a holder that drains without waiting for silence', () => {
+    const peers = [{...peer('a', 10_000), drainingSinceMs: 9_990}];
+    expect(decide('b', 'z1', {peers})).not.toBeNull();
+  });
+
+  it('claims a zone without a term at once', () => {
+    const change = {state: state(), nowMs: 0};
+    expect(decide('b', 'z1', change)?.baseTerm).toBe(0);
+  });
+
+  it('takes the term back from a VM of another zone', () => {
+    const peers = [peer('x', 10_000, 'z2')];
+    const change = {state: state('x', 'z2'), peers};
+    expect(decide('b', 'z1', change)?.author).toBe('b');
+  });
+
+  it('gives a new holder time to be heard', () => {
+    const change = {termSeenAtMs: 9_900, peers: [peer('a', 0)]};
+    expect(decide('b', 'z1', change)).toBeNull();
+  });
+});
+
+describe('election from another zone', () => {
+  const silent = [peer('a', 10_000 - ZONE_SILENT_MS)];
+
+  it('stands only after the whole zone was silent', () => {
+    expect(decide('x', 'z2', {peers: silent})?.authorZone).toBe('z2');
+    const peers = [...silent, peer('b', 9_000)];
+    expect(decide('x', 'z2', {peers})).toBeNull();
+  });
+
+  it('does not stand while the zone still writes to the log', () => {
+    const change = {peers: silent, lastZoneRecordAtMs: 9_000};
+    expect(decide('x', 'z2', change)).toBeNull();
+  });
+
+  it('does not judge silence before it has listened long enough', () => {
+    const change = {peers: silent, observedSinceMs: 9_000};
+    expect(decide('x', 'z2', change)).toBeNull();
+  });
+});
--- /dev/null
+++ b/packages/core/test/ownership/interleavings.test.ts
@@ -0,0 +1,160 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {makeBundle} from './fold.js';
+import {Model, Random, type ModelServer, type ModelVm} from './model.js';
+
+const SERVERS = [
+  {id: 's1', batch: 'b1'},
+  {id: 's2'},
+  {id: 's3'},
+  {id: 's4'},
+] as const;
+const VMS = ['a', 'b', 'c'].map(id => ({id, zone: 'z1'}));
+const RUNS = Number(process.env['OWNERSHIP_RUNS'] ?? 60);
+const SEED = Number(process.env['OWNERSHIP_SEED'] ?? Date.now() % 2 ** 31);
+
+const ACTIONS = [
+  'pause-holder',
+  'pause',
+  'cut-log',
+  'cut-peers',
+  'cut-servers',
+  'log-down',
+  'freeze',
+  'restart',
+  'kill',
+  'remove',
+  'drain-vm',
+  'leave',
+  'stay',
+  'steal-term',
+] as const;
+
+const actionArb = fc.record({
+  kind: fc.constantFrom(...ACTIONS),
+  target: fc.nat({max: 3}),
+  afterMs: fc.nat({max: 1_500}),
+  forMs: fc.integer({min: 50, max: 5_000}),
+});
+type Action = typeof actionArb extends fc.Arbitrary<infer T> ? T : never;
+
+const runArb = fc.record({
+  seed: fc.nat(),
+  adoption: fc.constantFrom('hold' as const, 'lapse' as const),
+  drop: fc.constantFrom(0, 0.02, 0.2),
+  duplicate: fc.constantFrom(0, 0.1, 0.4),
+  delay: fc.constantFrom(0, 0.05, 0.2),
+  actions: fc.array(actionArb, {minLength: 1, maxLength: 14}),
+});
+
+function flip(
+  model: Model,
+  vm: ModelVm,
+  flag: 'logCut' | 'peersCut' | 'serversCut',
+  forMs: number,
+): void {
+  vm[flag] = true;
+  model.at(forMs, () => (vm[flag] = false));
+}
+
+function perform(model: Model, action: Action, adoption: 'hold' | 'lapse') {
+  const {kind, target, forMs} = action;
+  const vm = model.vms[target % model.vms.length]!;
+  const server = [...model.servers.values()][target]!;
+  const bundle = (leaveAtMs: number | null) =>
+    model.log.append({
+      kind: 'bundle',
+      body: makeBundle({servers: SERVERS, adoption, leaveAtMs}),
+    });
+  switch (kind) {
+    case 'pause-holder':
+    case 'pause': {
+      const paused = kind === 'pause' ? vm : (model.holder() ?? vm);
+      paused.paused = true;
+      model.at(forMs, () => model.resume(paused));
+      return;
+    }
+    case 'cut-log':
+      return flip(model, vm, 'logCut', forMs);
+    case 'cut-peers':
+      return flip(model, vm, 'peersCut', forMs);
+    case 'cut-servers':
+      return flip(model, vm, 'serversCut', forMs);
+    case 'log-down':
+      model.logDown = true;
+      model.at(forMs, () => (model.logDown = false));
+      return;
+    case 'freeze':
+      return suspend(model, server, 'frozen', forMs);
+    case 'kill':
+      return suspend(model, server, 'dead', forMs);
+    case 'restart':
+      if (!model.removed.has(server.id)) server.restart(model.t);
+      return;
+    case 'remove':
+      // One server at least stays to take the shards.
+      if (model.removed.size >= 2 || server.id === 's4') return;
+      server.state = 'dead';
+      model.removed.add(server.id);
+      return;
+    case 'drain-vm':
+      vm.draining = true;
+      model.at(forMs, () => (vm.draining = false));
+      return;
+    case 'leave':
+      bundle(model.t + forMs);
+      return;
+    case 'stay':
+      bundle(null);
+      return;
+    case 'steal-term': {
+      const baseTerm = model.log.latest.terms.get('z1')?.term ?? 0;
+      const authorZone = 'z1';
+      model.log.append({
+        kind: 'term',
+        author: vm.id,
+        zone: 'z1',
+        authorZone,
+        baseTerm,
+      });
+    }
+  }
+}
+
+function suspend(
+  model: Model,
+  server: ModelServer,
+  state: 'frozen' | 'dead',
+  forMs: number,
+): void {
+  if (server.state !== 'live') return;
+  server.state = state;
+  const boot = server.boot;
+  model.at(forMs, () => {
+    if (model.removed.has(server.id) || server.boot !== boot) return;
+    if (state === 'dead') server.restart(model.t);
+    else server.state = 'live';
+  });
+}
+
+describe('generated interleavings', () => {
+  it(`never lets two servers accept a shard (seed ${SEED})`, () => {
+    const property = fc.property(runArb, run => {
+      const bundle = makeBundle({servers: SERVERS, adoption: run.adoption});
+      const model = new Model(bundle, VMS, new Random(run.seed), run);
+      model.run(2_500);
+      for (const action of run.actions) {
+        perform(model, action, run.adoption);
+        model.run(action.afterMs);
+      }
+      model.run(6_000);
+      expect(model.violations.slice(0, 3)).toEqual([]);
+      // All faults have ended: every shard is served again.
+      model.faults = {drop: 0, duplicate: 0, delay: 0};
+      model.run(8_000);
+      expect(model.violations.slice(0, 3)).toEqual([]);
+      expect(model.unserved()).toEqual([]);
+    });
+    fc.assert(property, {seed: SEED, numRuns: RUNS, endOnFailure: true});
+  }, 120_000);
+});
--- a/packages/core/test/ownership/model.ts
+++ b/packages/core/test/ownership/model.ts
@@ -64,8 +64,13 @@
 
   /** Whether a request with the granted epoch and fence would be run. */
   accepts(t: number, shard: string): boolean {
+    return this.state === 'live' && this.holds(t, shard);
+  }
+
+  /** Whether a live or frozen server has a valid lease with the shard. */
+  holds(t: number, shard: string): boolean {
     return (
-      this.state === 'live' &&
+      this.state !== 'dead' &&
       this.lease !== null &&
       this.clockMs(t) < this.lease.expiresAtMs &&
       this.lease.grants.some(g => shardKey(g) === shard)
@@ -290,7 +295,7 @@
       this.deliver(vm, () => {
         if (offset < vm.offset) return;
         this.follow(vm, offset);
-        if (vm.assigner && this.state(vm).terms.get(vm.zone)) {
+        if (vm.assigner && this.state(vm).terms.get('z1')) {
           vm.termConfirmedAtMs = startedAtMs;
         }
       }),
@@ -385,6 +390,7 @@
         return;
       }
       case 'append':
+        this.checkLoss(command.record);
         this.append(vm, assigner, command.record);
         return;
       case 'shard-drain': {
@@ -488,9 +494,27 @@
     this.at(this.latencyMs(), write);
   }
 
+  /** The fold refuses a record of an older term, so it decides nothing. */
+  private isCurrent(record: {zone: string; term: number}): boolean {
+    return record.term === this.log.latest.terms.get(record.zone)?.term;
+  }
+
+  /** A loss must not be decided while a lease with the shard still runs. */
+  private checkLoss(record: Parameters<TestLog['append']>[0]): void {
+    if (record.kind !== 'assign' || !this.isCurrent(record)) return;
+    for (const change of record.changes) {
+      if (change.reason !== 'server-lost') continue;
+      const row = this.log.latest.services.get('svc')!.rows[change.shard]!;
+      const source = this.servers.get(row.server ?? '');
+      if (source?.holds(this.t, shardKey(change))) {
+        this.violations.push(`t=${this.t} ${shardKey(change)} lease runs`);
+      }
+    }
+  }
+
   /** A planned move must not be recorded while the source runs the shard. */
   private checkPlanned(record: Parameters<TestLog['append']>[0]): void {
-    if (record.kind !== 'assign') return;
+    if (record.kind !== 'assign' || !this.isCurrent(record)) return;
     for (const change of record.changes) {
       if (change.reason !== 'leaving' && change.reason !== 'balance') continue;
       const row = this.log.latest.services.get('svc')!.rows[change.shard]!;
