--- a/packages/core/test/ownership/faults.test.ts
+++ b/packages/core/test/ownership/faults.test.ts
@@ -221,6 +221,21 @@
     expectSafe(model);
   });
 
+  it('moves the shards of a lost zone within 3 s of the new term (lapse)', () => {
+    const model = startZones('lapse');
+    const before = model.log.latest.terms.get('z1')!.term;
+    for (const vm of model.vms) vm.paused = vm.zone === 'z1';
+    for (const id of ['s1', 's2']) model.servers.get(id)!.state = 'frozen';
+    while (model.log.latest.terms.get('z1')!.term === before) model.run(10);
+    model.run(3_000);
+    expect(model.owned('s1') + model.owned('s2')).toBe(0);
+    expect(model.owned('t1')).toBe(4);
+    for (const id of ['s1', 's2']) model.servers.get(id)!.state = 'live';
+    for (const vm of model.vms) model.resume(vm);
+    model.run(3_000);
+    expectSafe(model);
+  });
+
   it('keeps the shards of a lost zone unowned until proof c (hold)', () => {
     const model = startZones('hold');
     for (const vm of model.vms) vm.paused = vm.zone === 'z1';
