Carry fences with attempt records and deadlines with services

Cause: a handover named no fence, so a dispatcher that was paused and replaced could later hand incomplete records to the next one, which would then run a repeated request again. After a server's loss no records were handed over at all, so callers got attempt-unknown for keys that were created before. Ruled out: a time limit on handovers alone, because a pause can be shorter. Change in the schemas: assign records name the fence of the former owner's last dispatcher, table rows name the fence that they replace, handovers name the fence of their sender. Boot and sequence of a lease call are required. A service states the longest deadline that its callers may ask for.

--- a/packages/core/src/core/ownership/assigner.ts
+++ b/packages/core/src/core/ownership/assigner.ts
@@ -854,6 +854,7 @@
       shard: m.shard,
       server: m.to,
       reason: m.reason,
+      formerFence: null,
     }));
     return {
       kind: 'assign',
--- a/packages/core/src/core/ownership/dispatch-plan.ts
+++ b/packages/core/src/core/ownership/dispatch-plan.ts
@@ -128,7 +128,12 @@
     for (const slot of slots) {
       const d = dispatcherOf(slot);
       if (!d?.acked) continue;
-      rows.push({server: slot.id, dispatcher: d.vm, fence: d.fence});
+      rows.push({
+        server: slot.id,
+        dispatcher: d.vm,
+        fence: d.fence,
+        replaces: null,
+      });
     }
     const readers = entries.map(e => e.vm).sort();
     const signature = JSON.stringify([rows, readers]);
--- a/packages/core/src/types/bundle.ts
+++ b/packages/core/src/types/bundle.ts
@@ -3,6 +3,8 @@
 
 /** Largest number of shards that a service may have. */
 export const MAX_SHARDS = 65_536;
+/** Largest value of a service's longest deadline, for uploads. */
+export const MAX_DEADLINE_MS = 600_000;
 
 const idSchema = z
   .string()
@@ -19,6 +21,8 @@
   id: idSchema,
   shards: z.int().min(1).max(MAX_SHARDS),
   adoption: adoptionPolicySchema.default('hold'),
+  /** Longest deadline that a caller may ask for. */
+  longestDeadlineMs: z.int().min(100).max(MAX_DEADLINE_MS).default(10_000),
   maxBodyBytes: z
     .int()
     .min(0)
--- a/packages/core/src/types/lease.ts
+++ b/packages/core/src/types/lease.ts
@@ -30,12 +30,12 @@
    * refuses the call: after a restart its clock may count from zero, and an
    * old expiry would be far in the future.
    */
-  bootId: z.string().optional(),
+  bootId: z.string(),
   /**
    * Grows with each lease call of a term to a server. A server refuses a call
    * of the same term that is not newer, because it could restore grants.
    */
-  seq: z.int().min(1).optional(),
+  seq: z.int().min(1),
 });
 export type LeaseRequest = z.infer<typeof leaseRequestSchema>;
 
--- a/packages/core/src/types/peer-messages.ts
+++ b/packages/core/src/types/peer-messages.ts
@@ -34,6 +34,11 @@
   server: z.string(),
   dispatcher: z.string(),
   fence: fenceSchema,
+  /**
+   * Fence that this one replaced without a gap, or null when unknown. The
+   * dispatcher takes attempt records only from the one that held it.
+   */
+  replaces: fenceSchema.nullable().default(null),
 });
 export type DispatchRow = z.infer<typeof dispatchRowSchema>;
 
@@ -120,6 +125,9 @@
 /** Attempt and crash records for a new dispatcher of a shard or server. */
 export const handoverSchema = z.object({
   kind: z.literal('handover'),
+  /** Server that the sender dispatched for, and its fence. */
+  server: z.string(),
+  fence: fenceSchema,
   service: z.string(),
   /** Shards whose attempts since the given wall time are all in `attempts`. */
   shards: z.array(z.object({shard: z.int(), knownSinceWallMs: z.number()})),
--- a/packages/core/src/types/records.ts
+++ b/packages/core/src/types/records.ts
@@ -1,6 +1,7 @@
 /** Schemas of the records on the deployment's log stream. */
 import {z} from 'zod';
 import {signedBundleSchema} from './bundle.js';
+import {fenceSchema} from './lease.js';
 
 const common = {id: z.string().min(1), author: z.string().min(1)};
 const offsetSchema = z.int().min(0);
@@ -42,6 +43,11 @@
   shard: z.int().min(0),
   server: z.string().nullable(),
   reason: assignReasonSchema,
+  /**
+   * Fence of the former owner's last dispatcher, or null when unknown. The next
+   * dispatcher takes attempt records only from the one that held this fence.
+   */
+  formerFence: fenceSchema.nullable().default(null),
 });
 export type ShardChange = z.infer<typeof shardChangeSchema>;
 
--- a/packages/daemon/src/control/assigner-runner.ts
+++ b/packages/daemon/src/control/assigner-runner.ts
@@ -69,7 +69,9 @@
       this.noteAuthor(folded);
       this.settle(folded);
     }
-    for (const [zone, term] of state.terms) this.followTerm(zone, term);
+    for (const [zone, term] of state.terms) {
+      this.followTerm(zone, term, isFirstTerm(zone, folded));
+    }
   }
 
   /** Stops all steps. */
@@ -108,16 +110,20 @@
     this.active.get(zone)?.assigner.onAppendResult({recordId: id, accepted});
   }
 
-  private followTerm(zone: string, current: TermState): void {
+  private followTerm(zone: string, current: TermState, first: boolean): void {
     const sighting = this.sighting(zone);
     if (sighting.term === current.term) return;
     sighting.term = current.term;
     sighting.termSeenAtMs = this.ports.clock.monotonicMs();
     if (this.active.has(zone)) this.endTerm(zone, current);
-    if (current.holder === this.ports.vm) this.startTerm(zone, current);
+    if (current.holder === this.ports.vm) this.startTerm(zone, current, !first);
   }
 
-  private startTerm(zone: string, {term}: TermState): void {
+  private startTerm(
+    zone: string,
+    {term}: TermState,
+    hasPredecessor: boolean,
+  ): void {
     const nowMs = this.ports.clock.monotonicMs();
     const assigner = new Assigner({
       vm: this.ports.vm,
@@ -125,6 +131,7 @@
       term,
       termAcknowledgedAtMs: nowMs,
       nowMs,
+      hasPredecessor,
       longestDeadlineMs: this.ports.longestDeadlineMs,
     });
     this.active.set(zone, {term, assigner});
@@ -246,3 +253,12 @@
     });
   }
 }
+
+/** Whether a record gave a zone its first term. */
+function isFirstTerm(zone: string, folded: FoldedRecord | null): boolean {
+  if (folded?.verdict.kind !== 'accepted') return false;
+  const {record} = folded.verdict;
+  return (
+    record.kind === 'term' && record.zone === zone && record.baseTerm === 0
+  );
+}
--- a/packages/daemon/src/control/dispatch-directory.ts
+++ b/packages/daemon/src/control/dispatch-directory.ts
@@ -71,7 +71,12 @@
     for (const [zone, age] of this.ages) {
       const rows = [...this.rows.values()]
         .filter(row => row.zone === zone)
-        .map(({server, dispatcher, fence}) => ({server, dispatcher, fence}));
+        .map(({server, dispatcher, fence, replaces}) => ({
+          server,
+          dispatcher,
+          fence,
+          replaces,
+        }));
       yield {kind: 'dispatch-table', zone, ...age, rows};
     }
   }
--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -182,8 +182,13 @@
     }
     await this.options.dispatcher.setDrain(server, service, shards, drain);
     if (!drain) return;
-    if (next !== null && next !== this.options.vm) {
-      this.handOver(next, service, shards);
+    const fence = this.options.directory.lookup(server)?.fence;
+    if (fence && next !== null && next !== this.options.vm) {
+      const {dispatcher} = this.options;
+      this.send(
+        next,
+        dispatcher.exportAttempts(server, fence, service, shards),
+      );
     }
     this.send(from, {kind: 'shard-drained', term, server, service, shards});
   }
@@ -195,10 +200,6 @@
     return replica.state.terms.get(zone)?.term ?? 0;
   }
 
-  private handOver(next: string, service: string, shards: number[]): void {
-    this.send(next, this.options.dispatcher.exportAttempts(service, shards));
-  }
-
   private onPermission(from: string, message: MessageOf<'permission'>): void {
     const {permissions, clock} = this.options;
     if (message.term < this.currentTermOf(message.server)) return;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {CallerServer} from '@wisteriarun/caller';
 import {
+  MAX_DEADLINE_MS,
   createHasher,
   describeError,
   type EventInput,
@@ -356,7 +357,8 @@
       vm: this.vm,
       zone: this.settings.vm.zone,
       clock: this.clock,
-      longestDeadlineMs: () => this.settings.limits.longestDeadlineMs,
+      longestDeadlineMs: service =>
+        this.routes.service(service)?.longestDeadlineMs ?? MAX_DEADLINE_MS,
       observedSinceMs: () =>
         this.clock.monotonicMs() < observedSinceMs ? null : observedSinceMs,
       draining: () => this.draining,
--- a/packages/daemon/src/request/dispatcher-host.ts
+++ b/packages/daemon/src/request/dispatcher-host.ts
@@ -155,6 +155,7 @@
     const dispatcher = this.servers.get(server);
     if (!dispatcher) return [];
     this.stopping.add(server);
+    const fence = dispatcher.currentFence;
     dispatcher.setFence(null);
     await dispatcher.whenIdle();
     if (!this.stopping.delete(server)) return [];
@@ -164,9 +165,11 @@
       if (list) list.push(shard);
       else shards.set(service, [shard]);
     }
-    const handovers = [...shards].map(([service, list]) =>
-      this.exportAttempts(service, list),
-    );
+    const handovers = fence
+      ? [...shards].map(([service, list]) =>
+          this.exportAttempts(server, fence, service, list),
+        )
+      : [];
     this.servers.delete(server);
     this.onRoutesChanged();
     await dispatcher.close();
@@ -177,15 +180,22 @@
    * Attempt records for the next dispatcher. This VM then no longer counts as
    * the dispatcher of the shards: if it resumes, it takes them over anew.
    *
+   * @param server - Server that this VM dispatched for.
+   * @param fence - Its fence.
    * @param service - Service id.
    * @param shards - Shard numbers.
    * @returns Handover message.
    */
-  exportAttempts(service: string, shards: readonly number[]): Handover {
+  exportAttempts(
+    server: string,
+    fence: Fence,
+    service: string,
+    shards: readonly number[],
+  ): Handover {
     const wallMs = this.options.clock.wallMs();
     const exported = this.attempts.export(service, shards, wallMs);
     for (const shard of shards) this.attempts.release(service, shard);
-    return {kind: 'handover', service, ...exported};
+    return {kind: 'handover', server, fence, service, ...exported};
   }
 
   /**
--- a/packages/peer/test/link/peer-mesh.test.ts
+++ b/packages/peer/test/link/peer-mesh.test.ts
@@ -339,6 +339,8 @@
     peer.socket.pause();
     const message: PeerMessage = {
       kind: 'handover',
+      server: 's1',
+      fence: {term: 1, seq: 1},
       service: 's',
       shards: [],
       attempts: [
--- a/testing/demo/src/cluster.ts
+++ b/testing/demo/src/cluster.ts
@@ -13,6 +13,7 @@
 import {request} from 'undici';
 import {
   HEADERS,
+  MAX_DEADLINE_MS,
   bundleSchema,
   type Bundle,
   type Server,
@@ -459,6 +460,7 @@
       zones: [...zones],
       services: services.map(service => ({
         adoption: 'hold',
+        longestDeadlineMs: MAX_DEADLINE_MS,
         maxBodyBytes: 1024 ** 3,
         ...service,
       })),
