--- /dev/null
+++ b/testing/bench/src/request/main.ts
@@ -0,0 +1,25 @@
+#!/usr/bin/env node
+/** Measures the request path: `npm run bench:request [-- --json]`. */
+import {measureAddedLatency, measureUploadMemory} from './costs.js';
+import {capacityPerSecond, runLevel, type Mode} from './load-levels.js';
+
+const LEVELS_PERCENT = [50, 80, 110] as const;
+const MODES: readonly Mode[] = ['direct', 'router'];
+
+const rows: object[] = [];
+const report = (row: object) => {
+  rows.push(row);
+  if (process.argv.includes('--json')) return;
+  const pairs = Object.entries(row).map(([name, value]) => `${name}=${value}`);
+  process.stdout.write(`${pairs.join(' ')}\n`);
+};
+
+report({measure: 'capacity', requestsPerSecond: capacityPerSecond()});
+report({measure: 'added-latency', ...(await measureAddedLatency())});
+report({measure: 'upload-memory', ...(await measureUploadMemory())});
+for (const levelPercent of LEVELS_PERCENT) {
+  for (const mode of MODES) report(await runLevel(mode, levelPercent));
+}
+if (process.argv.includes('--json')) {
+  process.stdout.write(`${JSON.stringify(rows, null, 2)}\n`);
+}
--- /dev/null
+++ b/testing/bench/src/request/process-usage.ts
@@ -0,0 +1,31 @@
+/** Processor time and memory of processes, as Linux reports them. */
+import {readFileSync} from 'node:fs';
+
+/** Clock ticks per second of Linux user space. */
+const TICKS_PER_SECOND = 100;
+const UTIME_FIELD = 11;
+const STIME_FIELD = 12;
+
+/**
+ * Reads the processor time that a process has used.
+ *
+ * @param pid - Process id.
+ * @returns User and system time in milliseconds.
+ */
+export function cpuTimeMs(pid: number): number {
+  const text = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[UTIME_FIELD]) + Number(fields[STIME_FIELD]);
+  return (ticks * 1_000) / TICKS_PER_SECOND;
+}
+
+/**
+ * Reads the resident memory of a process.
+ *
+ * @param pid - Process id.
+ * @returns Bytes.
+ */
+export function residentBytes(pid: number): number {
+  const text = readFileSync(`/proc/${pid}/status`, 'utf8');
+  return Number(/VmRSS:\s+(\d+) kB/.exec(text)?.[1] ?? 0) * 1024;
+}
--- a/testing/demo/src/child.ts
+++ b/testing/demo/src/child.ts
@@ -42,6 +42,11 @@
     void this.exit.then(() => live.delete(this));
   }
 
+  /** Process id; 0 when the process could not be started. */
+  get pid(): number {
+    return this.process.pid ?? 0;
+  }
+
   /** Whether the process has not ended. */
   get running(): boolean {
     return live.has(this);
--- a/testing/demo/src/cluster.ts
+++ b/testing/demo/src/cluster.ts
@@ -171,6 +171,13 @@
     );
   }
 
+  /** Process ids of the entries that run. */
+  entryPids(): number[] {
+    return [...this.entries.values()]
+      .filter(({child}) => child.running)
+      .map(({child}) => child.pid);
+  }
+
   /** Address of one entry's caller port. */
   entryAddress(id: string): string {
     return `${HOST}:${this.entry(id).ports.caller}`;
