Add the bundle commands of wisteriactl

Cause: operators act only by publishing bundles, and wisteriactl could not create one. `check`, `keygen`, `sign` and `diff` work on files; `publish` folds the stream, refuses what the fold would reject before it appends, and reads on until its record has a verdict. Exit code 5 means that nothing was published, 6 that another version won, 7 that it is not known.

Ruled out: to append without the fold and let the log decide; a bundle with a wrong signature would then stay on the stream. A repeated run after a lost answer would be a stale version, so a bundle that is in force already, with the same text and signature, is reported as accepted.

--- a/packages/core/src/core/state/index.ts
+++ b/packages/core/src/core/state/index.ts
@@ -1,5 +1,5 @@
 /** Fold of the log, bundles, snapshots and routing. */
-export {checkBundle, parseBundle} from './bundle-check.js';
+export {checkBundle, checkConsistency, parseBundle} from './bundle-check.js';
 export {
   diffBundles,
   type BundleChange,
--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -1,5 +1,19 @@
 /** Commands and options of wisteriactl. */
 import {Command, CommanderError, InvalidArgumentError} from 'commander';
+import {
+  checkBundleFile,
+  generateKey,
+  showBundleDiff,
+  signBundleFile,
+} from './commands/bundle-files.js';
+import type {
+  CheckOptions,
+  DiffOptions,
+  KeygenOptions,
+  SignOptions,
+} from './commands/bundle-files.js';
+import {PUBLISH_TIMEOUT_MS, publishBundle} from './commands/bundle-publish.js';
+import type {PublishOptions} from './commands/bundle-publish.js';
 import {showBundleStatus} from './commands/bundle-status.js';
 import {showDrainStatus} from './commands/drain-status.js';
 import {explainKey} from './commands/explain.js';
@@ -46,7 +60,9 @@
 ): Command {
   // Subcommands inherit these settings only when they are added later.
   const program = new Command('wisteriactl')
-    .description('Shows the state of a wisteriarun deployment.')
+    .description(
+      'Shows the state of a wisteriarun deployment and publishes bundles.',
+    )
     .exitOverride()
     .showSuggestionAfterError()
     .configureOutput({writeOut: environment.out, writeErr: environment.err})
@@ -59,6 +75,8 @@
       setExitCode(await showBundleStatus(options, environment));
     });
 
+  addBundleCommands(bundle, environment, setExitCode);
+
   addConnectionOptions(program.command('owners'))
     .description('show who owns which shard')
     .option('--service <id>', 'only this service')
@@ -95,6 +113,73 @@
   return program;
 }
 
+function addBundleCommands(
+  bundle: Command,
+  environment: CliEnvironment,
+  setExitCode: (code: number) => void,
+): void {
+  bundle
+    .command('check <file>')
+    .description('check a bundle, signed or not')
+    .option('--base <file>', 'version that the bundle follows')
+    .action((file: string, options: CheckOptions) => {
+      setExitCode(checkBundleFile(file, options, environment));
+    });
+  bundle
+    .command('keygen')
+    .description('generate a signer and print its public part')
+    .requiredOption('--key-id <id>', 'id under which bundles list the signer')
+    .requiredOption('--out <file>', 'new file for the private key, mode 0600')
+    .action((options: KeygenOptions) => {
+      setExitCode(generateKey(options, environment));
+    });
+  bundle
+    .command('sign <file>')
+    .description('sign a bundle and print the signed bundle')
+    .requiredOption('--key <file>', 'file with the private key in PEM')
+    .requiredOption('--key-id <id>', 'id of the signer')
+    .action((file: string, options: SignOptions) => {
+      setExitCode(signBundleFile(file, options, environment));
+    });
+  bundle
+    .command('publish <file>')
+    .description('publish a signed bundle and wait for the verdict')
+    .requiredOption('--log <url>', 'log service')
+    .requiredOption('--stream <name>', "the deployment's stream")
+    .requiredOption(
+      '--root-key-id <id>',
+      'as in the settings, trust.root_key_id',
+    )
+    .requiredOption(
+      '--root-public-key <base64>',
+      'as in the settings, trust.root_public_key',
+    )
+    .option('--author <name>', 'operator; the key id by default')
+    .option(
+      '--timeout-ms <ms>',
+      'time for the append and again for the verdict',
+      parseTimeout,
+      PUBLISH_TIMEOUT_MS,
+    )
+    .action(async (file: string, options: PublishOptions) => {
+      setExitCode(await publishBundle(file, options, environment));
+    });
+  bundle
+    .command('diff <a> <b>')
+    .description('show what differs between two bundles, signed or not')
+    .option('--json', 'print JSON')
+    .action((a: string, b: string, options: DiffOptions) => {
+      setExitCode(showBundleDiff([a, b], options, environment));
+    });
+}
+
+function parseTimeout(text: string): number {
+  if (!/^[1-9]\d{0,8}$/.test(text)) {
+    throw new InvalidArgumentError('Expected a whole number of milliseconds.');
+  }
+  return Number(text);
+}
+
 function parseTime(text: string): number {
   const timeMs = Date.parse(text);
   if (Number.isNaN(timeMs)) {
--- a/packages/ctl/src/exit-codes.ts
+++ b/packages/ctl/src/exit-codes.ts
@@ -5,10 +5,16 @@
   refused: 1,
   /** Unknown command or option, or a bad value. */
   usage: 2,
-  /** No operator port answered. */
+  /** No operator port answered, or the log service is not available. */
   unreachable: 3,
   /** Some operator ports did not answer; the output covers the others. */
   partial: 4,
+  /** A file is unreadable, or a bundle is invalid; nothing was published. */
+  invalid: 5,
+  /** Another record won: the bundle is not in force. */
+  rejected: 6,
+  /** The bundle may or may not be in force. */
+  uncertain: 7,
 } as const;
 
 /** Text for the help. */
@@ -17,5 +23,8 @@
   0  success
   1  an operator port refused the request
   2  unknown command or option, or a bad value
-  3  no operator port answered
-  4  some operator ports did not answer; the output covers the others`;
+  3  no operator port answered, or the log service is not available
+  4  some operator ports did not answer; the output covers the others
+  5  a file is unreadable or a bundle is invalid; nothing was published
+  6  the bundle was rejected; the message names the version that won
+  7  the bundle may or may not be in force; run the command again`;
--- /dev/null
+++ b/packages/ctl/src/stream-reader.ts
@@ -0,0 +1,131 @@
+/** Fold of a deployment's stream, for a command that runs once. */
+import {
+  ERRORS,
+  emptyState,
+  fold,
+  type RouterState,
+  type Signer,
+  type StoredRecord,
+  type Verdict,
+  type WisteriarunError,
+} from '@wisteriarun/core';
+import {
+  PROCESS_TIMING,
+  recover,
+  type LogClient,
+  type ReadError,
+} from '@wisteriarun/log';
+import {Result} from 'true-myth';
+
+/** Wait of a long poll, and between reads while the log is down. */
+const POLL_WAIT_MS = 250;
+
+/** Verdict on one record. */
+export interface Decision {
+  readonly offset: number;
+  readonly verdict: Verdict;
+}
+
+/** Reads a stream in order and keeps the folded state. */
+export class StreamReader {
+  private current: RouterState = emptyState();
+  private readonly awaited = new Map<string, Decision | null>();
+
+  /**
+   * @param client - Client of the stream; stays open.
+   * @param trust - Root signers.
+   */
+  constructor(
+    private readonly client: LogClient,
+    private readonly trust: readonly Signer[],
+  ) {}
+
+  /** Folded state of everything that was read. */
+  get state(): RouterState {
+    return this.current;
+  }
+
+  /**
+   * Recovers from the latest snapshot and reads to the end of the stream.
+   *
+   * @returns The state, or `log-unavailable`, `log-expired` or
+   * `snapshot-missing`.
+   */
+  async catchUp(): Promise<Result<RouterState, WisteriarunError>> {
+    const recovery = await recover(this.client, this.trust);
+    if (recovery.isErr) return Result.err(recovery.error);
+    this.current = recovery.value.state;
+    for (;;) {
+      const atEnd = await this.readBatch(0);
+      if (atEnd.isErr) return Result.err(atEnd.error);
+      if (atEnd.value) return Result.ok(this.current);
+    }
+  }
+
+  /**
+   * Folds one record; records that were folded already are skipped.
+   *
+   * @param stored - The record after the current state's offset.
+   */
+  apply(stored: StoredRecord): void {
+    const {offset, record} = stored;
+    if (offset <= this.current.offset) return;
+    const {state, verdict} = fold(this.current, stored, this.trust);
+    this.current = state;
+    const id = idOf(record);
+    // A second copy of a record is rejected; the first one counts.
+    if (this.awaited.get(id) === null) this.awaited.set(id, {offset, verdict});
+  }
+
+  /**
+   * Notes that the verdict on a record will be asked for; call it before the
+   * record can be read.
+   *
+   * @param id - Id of the record.
+   */
+  expect(id: string): void {
+    this.awaited.set(id, null);
+  }
+
+  /**
+   * Reads until an expected record has a verdict. Outages are waited out.
+   *
+   * @param id - Id of the record.
+   * @param timeoutMs - Longest wait.
+   * @returns The verdict with the record's offset, or why it is not known.
+   */
+  async decisionOn(
+    id: string,
+    timeoutMs: number,
+  ): Promise<Result<Decision, WisteriarunError>> {
+    const endMs = PROCESS_TIMING.nowMs() + timeoutMs;
+    let failure: ReadError = ERRORS.logUnavailable('the record was not read');
+    for (;;) {
+      const decision = this.awaited.get(id);
+      if (decision) return Result.ok(decision);
+      if (PROCESS_TIMING.nowMs() >= endMs) return Result.err(failure);
+      const read = await this.readBatch(POLL_WAIT_MS);
+      if (read.isOk) continue;
+      failure = read.error;
+      if (failure.kind === 'log-expired') return Result.err(failure);
+      await PROCESS_TIMING.sleep(POLL_WAIT_MS);
+    }
+  }
+
+  /** Folds the next records; true at the end of the stream. */
+  private async readBatch(waitMs: number): Promise<Result<boolean, ReadError>> {
+    const from = this.current.offset + 1;
+    const batch = await this.client.read(from, {waitMs});
+    if (batch.isErr) return Result.err(batch.error);
+    for (const stored of batch.value.records) this.apply(stored);
+    return Result.ok(batch.value.atEnd);
+  }
+}
+
+function idOf(record: unknown): string {
+  const id =
+    typeof record === 'object' && record !== null && 'id' in record
+      ? record.id
+      : undefined;
+  return typeof id === 'string' ? id : '';
+}
