Report moves, servers and peers on the timeline

Cause: the assigner emitted one event per moved shard, so one failover of 30 shards took 30 places of the bounded timeline, and nothing told when a server was suspected, fenced or serving again. TermEvents now groups moves by old and new owner and record, and reports each stage (started, drained, assigned, served), servers (suspect, lost, back), accepted fences and the quarters of a leaving batch. PeerEvents reports links and lost peers. The state replica keeps the reason of each shard's present epoch in a bounded map for `explain`. `drain status` asks every port, because only a zone's assigner knows its drain; inFlight is removed, since the daemon had no value for it.

Ruled out: events at each fold; all VMs would report the same record.

--- a/packages/core/src/core/ownership/assigner.ts
+++ b/packages/core/src/core/ownership/assigner.ts
@@ -482,18 +482,7 @@
     const folded = (s: PendingAppend['shards'][number]) =>
       view.index.epochOf(s) !== s.baseEpoch;
     for (const move of this.moves.list()) {
-      if (!folded(move)) continue;
-      this.moves.remove(move, view.nowMs);
-      yield {
-        kind: 'event',
-        event: {
-          kind: 'shard-moved',
-          term: this.term,
-          epoch: view.index.epochOf(move),
-          cause: move.reason,
-          fields: moveFields(move),
-        },
-      };
+      if (folded(move)) this.moves.remove(move, view.nowMs);
     }
     if (this.pending?.shards.every(folded)) this.pending = null;
   }
--- a/packages/ctl/src/commands/drain-status.ts
+++ b/packages/ctl/src/commands/drain-status.ts
@@ -1,13 +1,7 @@
 /** `drain status`: progress of the batches that are leaving. */
-import {
-  askFirst,
-  createClients,
-  printJson,
-  reportFailure,
-} from '../connection.js';
+import {askAll, createClients, printJson} from '../connection.js';
 import type {ConnectionOptions} from '../connection.js';
 import type {CliEnvironment} from '../environment.js';
-import {EXIT_CODES} from '../exit-codes.js';
 import {formatTable, formatTime} from '../table.js';
 
 /**
@@ -22,9 +16,18 @@
   environment: CliEnvironment,
 ): Promise<number> {
   const clients = createClients(options, environment);
-  const status = await askFirst(clients, client => client.status());
-  if (status.isErr) return reportFailure(status.error, environment);
-  const {drains} = status.value;
+  // Each zone's drain is known to the zone's assigner only.
+  const gathered = await askAll(
+    clients,
+    client => client.status(),
+    environment,
+  );
+  if (gathered.answers.length === 0) return gathered.exitCode;
+  const drains = gathered.answers
+    .flatMap(status => status.drains)
+    .sort(
+      (a, b) => compareText(a.batch, b.batch) || compareText(a.zone, b.zone),
+    );
   if (options.json === true) {
     printJson(drains, environment);
   } else if (drains.length === 0) {
@@ -34,26 +37,40 @@
       formatTable(
         [
           'BATCH',
+          'ZONE',
           'LEAVES AT',
           'SERVERS',
-          'SHARDS LEFT',
-          'IN FLIGHT',
+          'SHARDS',
+          'LEFT',
+          'DONE',
           'EXPECTED FINISH',
           'ON TIME',
         ],
         drains.map(drain => [
           drain.batch,
+          drain.zone,
           formatTime(drain.leaveAtMs),
           drain.servers,
+          drain.shardsTotal,
           drain.shardsLeft,
-          drain.inFlight,
+          percentDone(drain.shardsTotal, drain.shardsLeft),
           formatTime(drain.expectedFinishMs),
           isOnTime(drain.expectedFinishMs, drain.leaveAtMs),
         ]),
       ),
     );
   }
-  return EXIT_CODES.ok;
+  return gathered.exitCode;
+}
+
+function compareText(a: string, b: string): number {
+  return a < b ? -1 : Number(a > b);
+}
+
+function percentDone(total: number, left: number): string {
+  return total === 0
+    ? '100%'
+    : `${Math.floor((100 * (total - left)) / total)}%`;
 }
 
 function isOnTime(finishMs: number | null, leaveAtMs: number): string | null {
--- a/packages/ctl/src/commands/explain.ts
+++ b/packages/ctl/src/commands/explain.ts
@@ -45,6 +45,7 @@
         ['server', view.server],
         ['batch', view.batch],
         ['epoch', view.epoch],
+        ['reason', view.reason],
         ['zone', view.zone],
         ['assigner', view.assigner],
         ['term', view.term],
--- a/packages/ctl/test/ctl.test.ts
+++ b/packages/ctl/test/ctl.test.ts
@@ -58,9 +58,10 @@
     {
       batch: 'b1',
       leaveAtMs: 1_000_000,
+      zone: vm === 'entry-1' ? 'a' : 'b',
       servers: 2,
+      shardsTotal: 16,
       shardsLeft: 4,
-      inFlight: 1,
       expectedFinishMs: 1_000_001,
     },
   ],
@@ -92,6 +93,7 @@
           server: 's1',
           batch: 'b1',
           epoch: 11,
+          reason: 'leaving',
           zone: 'a',
           assigner: 'entry-1',
           term: 4,
@@ -163,9 +165,13 @@
 
   test('drain status marks a batch that finishes late', async () => {
     const table = await run(['drain', 'status']);
-    expect(table.out).toMatch(/^b1 .* NO$/m);
+    expect(table.out).toMatch(/^b1 +a .* 16 +4 +75% .* NO$/m);
     const json = await run(['drain', 'status', '--json']);
-    expect(json.json()).toEqual(status('entry-1').drains);
+    // Guards against the drains of one zone only.
+    expect(json.json()).toEqual([
+      ...status('entry-1').drains,
+      ...status('entry-2').drains,
+    ]);
   });
 
   test('explain shows the route and the causes', async () => {
@@ -173,6 +179,7 @@
     expect(table.code).toBe(EXIT_CODES.ok);
     expect(table.out).toContain('5 (isolated key)');
     expect(table.out).toContain('isolated at offset 11\n');
+    expect(table.out).toMatch(/^reason +leaving$/m);
     const json = await run(['explain', 'filing', 'case/1', '--json']);
     expect(json.json()).toMatchObject({key: 'case/1', fence: '4.1'});
   });
--- a/packages/daemon/src/control/assigner-runner.ts
+++ b/packages/daemon/src/control/assigner-runner.ts
@@ -5,10 +5,12 @@
   decideElection,
   type AssignerCommand,
   type LeaseRequest,
+  type LeavingProgress,
   type LogRecord,
   type RouterState,
   type TermState,
 } from '@wisteriarun/core';
+import {TermEvents} from './term-events.js';
 import type {FoldedRecord} from './state-replica.js';
 import type {AssignerPorts, StatusResult} from './types.js';
 
@@ -21,6 +23,13 @@
 interface ActiveTerm {
   readonly term: number;
   readonly assigner: Assigner;
+  readonly events: TermEvents;
+}
+
+/** Progress of a leaving batch in one zone. */
+export interface ZoneProgress {
+  readonly zone: string;
+  readonly progress: LeavingProgress;
 }
 
 /** What this VM saw of a zone on the log, on its monotonic clock. */
@@ -58,16 +67,28 @@
     for (const {assigner} of this.active.values()) yield assigner;
   }
 
+  /** Progress of the leaving batches in the zones of this process. */
+  *progress(): Generator<ZoneProgress> {
+    for (const [zone, {assigner}] of this.active) {
+      for (const progress of assigner.progress) yield {zone, progress};
+    }
+  }
+
   /**
    * Learns the verdict on a record and follows the terms.
    *
    * @param state - State after the record.
    * @param folded - The record, or null after a state from a peer.
+   * @param before - State before the record.
    */
-  onFolded(state: RouterState, folded: FoldedRecord | null): void {
+  onFolded(
+    state: RouterState,
+    folded: FoldedRecord | null,
+    before: RouterState,
+  ): void {
     if (folded) {
       this.noteAuthor(folded);
-      this.settle(folded);
+      this.settle(folded, before);
     }
     for (const [zone, term] of state.terms) this.followTerm(zone, term);
   }
@@ -99,12 +120,14 @@
     this.sighting(zone).lastRecordAtMs = this.ports.clock.monotonicMs();
   }
 
-  private settle({record, verdict}: FoldedRecord): void {
+  private settle(folded: FoldedRecord, before: RouterState): void {
+    const {record, verdict} = folded;
     const id = (record as {id?: unknown} | null)?.id;
     const zone = typeof id === 'string' ? this.ownAppends.get(id) : undefined;
     if (typeof id !== 'string' || zone === undefined) return;
     this.ownAppends.delete(id);
     const accepted = verdict.kind !== 'rejected';
+    this.active.get(zone)?.events.onOwnRecord(folded, before);
     this.active.get(zone)?.assigner.onAppendResult({recordId: id, accepted});
   }
 
@@ -127,8 +150,14 @@
       nowMs,
       longestDeadlineMs: this.ports.longestDeadlineMs,
     });
-    this.active.set(zone, {term, assigner});
-    this.ports.emit({kind: 'term-started', term, fields: {zone}});
+    const events = new TermEvents(zone, term, this.ports.emit);
+    this.active.set(zone, {term, assigner, events});
+    this.ports.emit({
+      kind: 'term-started',
+      term,
+      offset: term,
+      fields: {zone, holder: this.ports.vm},
+    });
   }
 
   private endTerm(zone: string, {term, holder}: TermState): void {
@@ -136,6 +165,7 @@
     this.ports.emit({
       kind: 'term-ended',
       term,
+      offset: term,
       cause: 'newer-term',
       fields: {zone, holder},
     });
@@ -146,7 +176,7 @@
     const state = ports.state();
     if (!state.bundle) return;
     for (const zone of state.bundle.body.zones) this.considerElection(zone);
-    for (const [zone, {assigner}] of this.active) {
+    for (const [zone, {assigner, events}] of this.active) {
       const commands = assigner.step({
         nowMs: ports.clock.monotonicMs(),
         wallMs: ports.clock.wallMs(),
@@ -156,7 +186,11 @@
         logAvailable: ports.logAvailable(),
         termConfirmedAtMs: ports.termConfirmedAtMs(),
       });
-      for (const command of commands) this.execute(zone, assigner, command);
+      for (const command of commands) {
+        events.onCommand(command);
+        this.execute(zone, assigner, command);
+      }
+      events.onStepEnd(assigner.progress, state.offset);
     }
   }
 
@@ -192,10 +226,10 @@
     const {ports} = this;
     switch (command.kind) {
       case 'lease':
-        void this.callServer(assigner, command.server, command.request);
+        void this.callServer(zone, assigner, command.server, command.request);
         return;
       case 'probe':
-        void this.callServer(assigner, command.server, null);
+        void this.callServer(zone, assigner, command.server, null);
         return;
       case 'append':
         this.append(zone, assigner, {...command.record, id: randomUUID()});
@@ -204,7 +238,7 @@
         ports.publishTable(command.table);
         return;
       case 'event':
-        ports.emit(command.event);
+        // The term's events group and emit it.
         return;
       default:
         ports.send(command.to, command.message);
@@ -212,6 +246,7 @@
   }
 
   private async callServer(
+    zone: string,
     assigner: Assigner,
     server: string,
     sentLease: LeaseRequest | null,
@@ -221,6 +256,10 @@
       ? await ports.lease(server, sentLease)
       : await ports.probe(server);
     const nowMs = ports.clock.monotonicMs();
+    const active = this.active.get(zone);
+    if (active?.assigner === assigner) {
+      active.events.onServerCall({server, sentLease, result, nowMs});
+    }
     if (sentLease) this.measure(server, sentLease, result);
     if (result.isOk) {
       const status = result.value;
--- /dev/null
+++ b/packages/daemon/src/control/peer-events.ts
@@ -0,0 +1,58 @@
+/** Events about the links to other entry VMs. */
+import type {LinkEvent, PeerView} from '@wisteriarun/peer';
+import {describeError} from '@wisteriarun/core';
+import type {Clock} from '@wisteriarun/runtime';
+import type {EventSink} from '../request/types.js';
+
+/** Silence after which a peer without a link counts as lost. */
+const PEER_LOST_MS = 3_000;
+
+/** Reports links that come and go, and each lost peer once. */
+export class PeerEvents {
+  private readonly lost = new Set<string>();
+
+  /**
+   * @param clock - Clock of the process.
+   * @param emit - Takes the events.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly emit: EventSink,
+  ) {}
+
+  /**
+   * Reports a change of a link. Failed attempts are not reported, because they
+   * repeat for as long as a peer is away.
+   *
+   * @param event - The change.
+   */
+  onLink(event: LinkEvent): void {
+    if (event.kind === 'link-failed') return;
+    const {kind, vm} = event;
+    if (kind === 'link-up') {
+      this.lost.delete(vm);
+      this.emit({kind, fields: {vm}});
+    } else this.emit({kind, cause: describeError(event.cause), fields: {vm}});
+  }
+
+  /**
+   * Looks for peers that have been silent for too long.
+   *
+   * @param peers - Known peers.
+   */
+  check(peers: readonly PeerView[]): void {
+    const nowMs = this.clock.monotonicMs();
+    for (const {vm, zone, connected, lastHeardMs} of peers) {
+      const silentMs = Math.round(nowMs - lastHeardMs);
+      if (connected || silentMs < PEER_LOST_MS || this.lost.has(vm)) continue;
+      this.lost.add(vm);
+      this.emit({
+        kind: 'peer-lost',
+        cause: 'silent',
+        fields: {vm, zone, silentMs},
+      });
+    }
+    const known = new Set(peers.map(({vm}) => vm));
+    for (const vm of this.lost) if (!known.has(vm)) this.lost.delete(vm);
+  }
+}
--- a/packages/daemon/src/control/state-replica.ts
+++ b/packages/daemon/src/control/state-replica.ts
@@ -4,6 +4,8 @@
   fold,
   fromImage,
   toImage,
+  type AssignReason,
+  type ChangeRecord,
   type RouterState,
   type Signer,
   type StateImage,
@@ -28,10 +30,24 @@
   before: RouterState,
 ) => void;
 
+/** Why a shard has its present owner and epoch. */
+export interface ShardOrigin {
+  /** Offset of the record, which is the shard's epoch. */
+  readonly epoch: number;
+  readonly author: string;
+  /** Reason of the assign record, or the kind of another record. */
+  readonly reason: AssignReason | 'isolate' | 'merge';
+}
+
+/** Shards whose origin is kept; bounds the memory. */
+const MAX_ORIGINS = 65_536;
+
 /** Folds records in order; its offset never goes back. */
 export class StateReplica {
   private current: RouterState = emptyState();
   private readonly listeners = new Set<StateListener>();
+  /** By `service/shard`; the oldest come first. */
+  private readonly origins = new Map<string, ShardOrigin>();
 
   /**
    * @param trust - Root signers from the settings.
@@ -59,10 +75,24 @@
       const before = this.current;
       const {state, verdict} = fold(before, stored, this.trust);
       this.current = state;
+      if (verdict.kind === 'accepted') this.noteOrigins(verdict.record, state);
       this.notify({...stored, verdict}, before);
     }
   }
 
+  /**
+   * Tells why a shard has its owner.
+   *
+   * @param service - Service id.
+   * @param shard - Shard number.
+   * @param epoch - Present epoch of the shard.
+   * @returns The record, or null when this VM did not fold it itself.
+   */
+  originOf(service: string, shard: number, epoch: number): ShardOrigin | null {
+    const origin = this.origins.get(`${service}/${shard}`);
+    return origin?.epoch === epoch ? origin : null;
+  }
+
   /**
    * Takes over a state image when it is newer than the current state.
    *
@@ -102,6 +132,31 @@
     return () => this.listeners.delete(listener);
   }
 
+  private noteOrigins(record: ChangeRecord, state: RouterState): void {
+    const {offset: epoch} = state;
+    const {kind, author} = record;
+    if (kind === 'assign') {
+      for (const {service, shard, reason} of record.changes) {
+        this.noteOrigin(service, shard, {epoch, author, reason});
+      }
+    } else if (kind === 'isolate' || kind === 'merge') {
+      const rows = state.services.get(record.service)?.rows ?? [];
+      for (const [shard, row] of rows.entries()) {
+        if (row.epoch !== epoch) continue;
+        this.noteOrigin(record.service, shard, {epoch, author, reason: kind});
+      }
+    }
+  }
+
+  private noteOrigin(service: string, shard: number, origin: ShardOrigin) {
+    const id = `${service}/${shard}`;
+    this.origins.delete(id);
+    this.origins.set(id, origin);
+    if (this.origins.size <= MAX_ORIGINS) return;
+    const [oldest] = this.origins.keys();
+    if (oldest !== undefined) this.origins.delete(oldest);
+  }
+
   private notify(folded: FoldedRecord | null, before: RouterState): void {
     for (const listener of this.listeners) {
       listener(this.current, folded, before);
--- /dev/null
+++ b/packages/daemon/src/control/term-events.ts
@@ -0,0 +1,310 @@
+/** Events of one assigner's term, grouped so that they do not flood. */
+import {
+  certainExpiryMs,
+  type AssignerCommand,
+  type EventInput,
+  type LeaseRequest,
+  type LeavingProgress,
+  type RouterState,
+  type ShardChange,
+} from '@wisteriarun/core';
+import type {EventSink} from '../request/types.js';
+import type {FoldedRecord} from './state-replica.js';
+import type {StatusResult} from './types.js';
+
+/** Shard numbers that one event lists; further ones are only counted. */
+const MAX_LISTED_SHARDS = 16;
+/** Progress of a leaving batch is reported at each of these parts. */
+const PROGRESS_PARTS = 4;
+
+/** A lease or status call with its answer. */
+export interface ServerCall {
+  readonly server: string;
+  readonly sentLease: LeaseRequest | null;
+  readonly result: StatusResult;
+  /** Own monotonic time of the answer. */
+  readonly nowMs: number;
+}
+
+/** What the calls have shown about a server. */
+interface ServerSight {
+  bootId: string | null;
+  /** Time of the first failure since the last answer. */
+  failedSinceMs: number | null;
+  lost: boolean;
+  /** Fence of the last acknowledged lease. */
+  fence: string;
+  /** Epochs of assigned shards that no acknowledged lease has contained. */
+  readonly unserved: Map<number, {service: string; shards: number[]}>;
+}
+
+/** Turns commands, calls and records of a term into events. */
+export class TermEvents {
+  private readonly servers = new Map<string, ServerSight>();
+  /** Shards whose drain was reported, as `service/shard`. */
+  private readonly draining = new Set<string>();
+  /** Part that was reported last, by batch and its time. */
+  private readonly parts = new Map<string, number>();
+  /** Given-up moves of the present step. */
+  private abandoned: EventInput[] = [];
+
+  /**
+   * @param zone - Zone of the assigner.
+   * @param term - Its term.
+   * @param sink - Takes the events.
+   */
+  constructor(
+    private readonly zone: string,
+    private readonly term: number,
+    private readonly sink: EventSink,
+  ) {}
+
+  /**
+   * Reports a command of the assigner.
+   *
+   * @param command - The command.
+   */
+  onCommand(command: AssignerCommand): void {
+    if (command.kind === 'event') {
+      const {event} = command;
+      if (event.kind === 'move-abandoned') this.abandoned.push(event);
+      else this.emit(event);
+    } else if (command.kind === 'shard-drain' && command.message.drain) {
+      const {server, service, shards} = command.message;
+      // A drain is sent again until it is answered.
+      const fresh = shards.filter(s => !this.draining.has(`${service}/${s}`));
+      if (fresh.length === 0) return;
+      for (const shard of fresh) this.draining.add(`${service}/${shard}`);
+      const fields = {service, from: server, ...listOf(fresh)};
+      this.emit({kind: 'move-started', fields});
+    } else if (command.kind === 'append' && command.record.kind === 'assign') {
+      this.onAssign(command.record.changes);
+    }
+  }
+
+  /**
+   * Reports what a step has given up, and the progress of leaving batches.
+   *
+   * @param progress - Progress of the leaving batches.
+   * @param offset - Offset of the folded state.
+   */
+  onStepEnd(progress: readonly LeavingProgress[], offset: number): void {
+    const {abandoned} = this;
+    this.abandoned = [];
+    const groups = groupBy(abandoned, ({cause, fields}) =>
+      [cause, fields?.['service'], fields?.['from'], fields?.['to']].join(' '),
+    );
+    for (const events of groups) {
+      const {kind, cause, fields} = events[0]!;
+      const shards = events.map(event => Number(event.fields?.['shard']));
+      const service = String(fields?.['service']);
+      for (const shard of shards) this.draining.delete(`${service}/${shard}`);
+      this.emit({kind, cause, fields: {...fields, ...listOf(shards)}});
+    }
+    for (const item of progress) this.onProgress(item, offset);
+  }
+
+  /**
+   * Reports an accepted record of this assigner, and notes which leases have
+   * to follow.
+   *
+   * @param folded - The record with its verdict.
+   * @param before - State before the record.
+   */
+  onOwnRecord({offset, verdict}: FoldedRecord, before: RouterState): void {
+    if (verdict.kind !== 'accepted') return;
+    const {record} = verdict;
+    if (record.kind === 'isolate' || record.kind === 'merge') {
+      const {kind, service, key} = record;
+      const fields = {service, key};
+      this.emit({kind: `key-${kind}d`, epoch: offset, offset, fields});
+    }
+    if (record.kind !== 'assign') return;
+    const moves = record.changes.map(change => ({
+      ...change,
+      from: before.services.get(change.service)?.rows[change.shard]?.server,
+    }));
+    const groups = groupBy(moves, ({service, from, server, reason}) =>
+      [service, from, server, reason].join(' '),
+    );
+    for (const group of groups) {
+      const {service, from, server, reason} = group[0]!;
+      const shards = group.map(({shard}) => shard);
+      for (const shard of shards) this.draining.delete(`${service}/${shard}`);
+      if (server !== null) this.expectLease(server, offset, service, shards);
+      this.emit({
+        kind: 'move-assigned',
+        epoch: offset,
+        offset,
+        cause: reason,
+        fields: {
+          service,
+          from: from ?? '',
+          to: server ?? '',
+          ...listOf(shards),
+        },
+      });
+    }
+  }
+
+  /**
+   * Reports what a lease or status call shows about its server.
+   *
+   * @param call - The call and its answer.
+   */
+  onServerCall(call: ServerCall): void {
+    const {server, sentLease, result, nowMs} = call;
+    const sight = this.sightOf(server);
+    if (result.isErr) {
+      if (result.error.kind === 'lease-refused') return;
+      this.onFailure(server, sight, result.error.kind, nowMs);
+      return;
+    }
+    this.onAnswer(server, sight, result.value.bootId);
+    if (sentLease?.bootId !== result.value.bootId) return;
+    this.onLease(server, sight, sentLease);
+  }
+
+  private onFailure(
+    server: string,
+    sight: ServerSight,
+    cause: string,
+    nowMs: number,
+  ): void {
+    if (sight.failedSinceMs === null) {
+      sight.failedSinceMs = nowMs;
+      this.emit({kind: 'server-suspect', cause, fields: {server}});
+    } else if (
+      !sight.lost &&
+      nowMs - sight.failedSinceMs >= certainExpiryMs()
+    ) {
+      sight.lost = true;
+      this.emit({kind: 'server-lost', cause, fields: {server}});
+    }
+  }
+
+  private onAnswer(server: string, sight: ServerSight, bootId: string): void {
+    const restarted = sight.bootId !== null && sight.bootId !== bootId;
+    if (restarted || sight.failedSinceMs !== null) {
+      const cause = restarted ? 'boot-changed' : 'answers-again';
+      this.emit({kind: 'server-back', cause, fields: {server, boot: bootId}});
+    }
+    if (restarted) sight.fence = '';
+    sight.bootId = bootId;
+    sight.failedSinceMs = null;
+    sight.lost = false;
+  }
+
+  private onLease(
+    server: string,
+    sight: ServerSight,
+    {fence, dispatcher, grants}: LeaseRequest,
+  ): void {
+    const text = `${fence.term}.${fence.seq}`;
+    if (text !== sight.fence) {
+      sight.fence = text;
+      const fields = {server, dispatcher, fence: text};
+      this.emit({kind: 'fence-accepted', fields});
+    }
+    if (sight.unserved.size === 0) return;
+    const epochs = new Set(grants.map(({epoch}) => epoch));
+    for (const [epoch, {service, shards}] of sight.unserved) {
+      if (!epochs.has(epoch)) continue;
+      sight.unserved.delete(epoch);
+      const fields = {service, server, ...listOf(shards)};
+      this.emit({kind: 'move-served', epoch, offset: epoch, fields});
+    }
+  }
+
+  /** Planned moves whose shards are drained when their record is appended. */
+  private onAssign(changes: readonly ShardChange[]): void {
+    const drained = changes.filter(({service, shard}) =>
+      this.draining.has(`${service}/${shard}`),
+    );
+    const groups = groupBy(drained, ({service, server, reason}) =>
+      [service, server, reason].join(' '),
+    );
+    for (const group of groups) {
+      const {service, server, reason} = group[0]!;
+      const shards = group.map(({shard}) => shard);
+      const fields = {service, to: server ?? '', ...listOf(shards)};
+      this.emit({kind: 'move-drained', cause: reason, fields});
+    }
+  }
+
+  private onProgress(progress: LeavingProgress, offset: number): void {
+    const {batch, leaveAtMs, totalShards, shardsLeft} = progress;
+    const id = `${batch} ${leaveAtMs}`;
+    const moved = totalShards - shardsLeft;
+    const part =
+      totalShards === 0
+        ? PROGRESS_PARTS
+        : Math.floor((PROGRESS_PARTS * moved) / totalShards);
+    if ((this.parts.get(id) ?? -1) >= part) return;
+    this.parts.set(id, part);
+    this.emit({
+      kind: 'leaving-progress',
+      offset,
+      cause: shardsLeft === 0 ? 'finished' : null,
+      fields: {
+        batch,
+        leaveAtMs,
+        shardsTotal: totalShards,
+        shardsLeft,
+        expectedFinishWallMs: progress.expectedFinishWallMs ?? 'unknown',
+      },
+    });
+  }
+
+  private expectLease(
+    server: string,
+    epoch: number,
+    service: string,
+    shards: readonly number[],
+  ): void {
+    const {unserved} = this.sightOf(server);
+    const known = unserved.get(epoch);
+    unserved.set(epoch, {
+      service,
+      shards: [...(known?.shards ?? []), ...shards],
+    });
+  }
+
+  private sightOf(server: string): ServerSight {
+    const known = this.servers.get(server);
+    if (known) return known;
+    const sight: ServerSight = {
+      bootId: null,
+      failedSinceMs: null,
+      lost: false,
+      fence: '',
+      unserved: new Map(),
+    };
+    this.servers.set(server, sight);
+    return sight;
+  }
+
+  private emit(event: EventInput): void {
+    const {term, zone} = this;
+    this.sink({...event, term, fields: {zone, ...event.fields}});
+  }
+}
+
+/** One shard as `shard`, several as a count and a bounded list. */
+function listOf(shards: readonly number[]): Record<string, string | number> {
+  const [first] = shards;
+  if (shards.length === 1 && first !== undefined) return {shard: first};
+  const listed = shards.slice(0, MAX_LISTED_SHARDS).join(',');
+  const more = shards.length > MAX_LISTED_SHARDS ? ',...' : '';
+  return {count: shards.length, shard: listed + more};
+}
+
+function groupBy<T>(items: readonly T[], idOf: (item: T) => string): T[][] {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const group = groups.get(idOf(item));
+    if (group) group.push(item);
+    else groups.set(idOf(item), [item]);
+  }
+  return [...groups.values()];
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,6 +27,7 @@
 import {followIsolation} from './control/isolation.js';
 import {LOAD_REPORT_INTERVAL_MS, reportLoads} from './control/load-reporter.js';
 import {LogTail} from './control/log-tail.js';
+import {PeerEvents} from './control/peer-events.js';
 import {PeerDuties} from './control/peer-duties.js';
 import {PeerRoster, instanceId} from './control/peer-roster.js';
 import {PermissionTable} from './control/permissions.js';
@@ -62,6 +63,9 @@
   private readonly requestMeter: RequestMeter;
   private readonly daemonMetrics: DaemonMetrics;
   private readonly imbalance: ImbalanceMeter;
+  private readonly peerEvents = new PeerEvents(this.clock, event =>
+    this.emit(event),
+  );
   private readonly directory = new DispatchDirectory();
   private readonly replica: StateReplica;
   private readonly routes: RouteTable;
@@ -194,12 +198,13 @@
   async shutDown(): Promise<void> {
     if (this.draining) return;
     this.draining = true;
-    this.emit({kind: 'draining', cause: 'signal'});
+    this.emit({kind: 'drain-started', cause: 'signal'});
     this.callers.beginShutdown();
     await delay(this.settings.limits.shutdownDelayMs);
     await this.handOverDuties();
     await this.callers.close();
     await this.relay.close();
+    this.emit({kind: 'drain-ended'});
     await this.close();
   }
 
@@ -259,24 +264,29 @@
     }
     this.routes.onChanged();
     this.dispatcher.onRoutesChanged();
-    this.runner.onFolded(state, folded);
+    this.runner.onFolded(state, folded, before);
     if (before.bundle !== state.bundle) this.onBundle(state);
   }
 
-  private onBundle({bundle, offset}: RouterState): void {
+  private onBundle({bundle}: RouterState): void {
     if (!bundle) return;
     this.servers.prune();
+    const {offset, author} = bundle;
     const {version} = bundle.body;
-    this.emit({kind: 'bundle-in-force', offset, fields: {version}});
+    this.emit({kind: 'bundle-in-force', offset, fields: {version, author}});
   }
 
   private reportVerdict({offset, verdict}: FoldedRecord): void {
     if (verdict.kind !== 'rejected') return;
+    const {record} = verdict;
     this.emit({
-      kind: 'record-rejected',
+      kind: record?.kind === 'bundle' ? 'bundle-rejected' : 'record-rejected',
       offset,
       cause: describeError(verdict.error),
-      fields: {author: verdict.record?.author ?? 'unknown'},
+      fields: {
+        record: record?.kind ?? 'unknown',
+        author: record?.author ?? 'unknown',
+      },
     });
   }
 
@@ -285,6 +295,7 @@
       this.duties.handle(from, message),
     );
     void this.mesh.linkEvents.observe(event => {
+      this.peerEvents.onLink(event);
       if (event.kind === 'link-up') this.duties.greet(event.vm);
       this.routes.onChanged();
     });
@@ -300,6 +311,7 @@
   private keepHouse(): void {
     void this.snapshots.step();
     this.daemonMetrics.tick();
+    this.peerEvents.check(this.mesh.peers());
     if (this.log.isAvailable) return;
     const best = this.mesh
       .peers()
@@ -469,14 +481,11 @@
       timeline: this.timeline,
       metrics: this.metrics,
       draining: () => this.draining,
-      leaving: () => this.leavingProgress(),
+      originOf: (...shard) => this.replica.originOf(...shard),
+      leaving: () => this.runner.progress(),
     });
     return new OperatorServer({...operator, source});
   }
-
-  private *leavingProgress() {
-    for (const assigner of this.runner.assigners()) yield* assigner.progress;
-  }
 }
 
 /** A port of the settings that cannot be opened. */
--- a/packages/daemon/src/operator-view.ts
+++ b/packages/daemon/src/operator-view.ts
@@ -1,6 +1,6 @@
 /** Answers of the operator port, built from the daemon's parts. */
-import type {Hasher, LeavingProgress, RouterState} from '@wisteriarun/core';
-import {route} from '@wisteriarun/core';
+import type {Hasher, RouterState} from '@wisteriarun/core';
+import {route, type Route} from '@wisteriarun/core';
 import type {
   DrainView,
   ExplainView,
@@ -15,6 +15,8 @@
 import type {Clock, Metrics, Timeline} from '@wisteriarun/runtime';
 import type {DispatchDirectory} from './control/dispatch-directory.js';
 import type {LogTail} from './control/log-tail.js';
+import type {ZoneProgress} from './control/assigner-runner.js';
+import type {ShardOrigin, StateReplica} from './control/state-replica.js';
 
 /** Parts that the views read from. */
 export interface OperatorViewOptions {
@@ -25,13 +27,14 @@
   readonly clock: Clock;
   readonly hasher: Hasher;
   readonly state: () => RouterState;
+  readonly originOf: StateReplica['originOf'];
   readonly directory: DispatchDirectory;
   readonly log: LogTail;
   readonly mesh: PeerMesh;
   readonly timeline: Timeline;
   readonly metrics: Metrics;
   readonly draining: () => boolean;
-  readonly leaving: () => Iterable<LeavingProgress>;
+  readonly leaving: () => Iterable<ZoneProgress>;
 }
 
 /** Reads the daemon's state for operators. */
@@ -85,6 +88,7 @@
       ? this.options.directory.lookup(found.server)
       : null;
     const server = state.bundle?.body.servers.find(s => s.id === found.server);
+    const origin = this.options.originOf(service, found.shard, found.epoch);
     const isolated = state.services.get(service)?.isolated.has(key) ?? false;
     return {
       offset: state.offset,
@@ -95,12 +99,13 @@
       server: found.server,
       batch: server?.batch ?? null,
       epoch: found.epoch,
+      reason: origin?.reason ?? null,
       zone: found.zone,
       assigner: term?.holder ?? null,
       term: term?.term ?? 0,
       dispatcher: row?.dispatcher ?? null,
       fence: row ? `${row.fence.term}.${row.fence.seq}` : null,
-      notes: this.notes(state, server?.batch ?? null, found.epoch),
+      notes: this.notes(state, server?.batch ?? null, found, origin),
     };
   }
 
@@ -141,13 +146,10 @@
   private notes(
     state: RouterState,
     batchId: string | null,
-    epoch: number,
+    {epoch, server}: Route,
+    origin: ShardOrigin | null,
   ): string[] {
-    const notes = [
-      epoch === 0
-        ? 'No record has given the shard an owner yet.'
-        : `The record at offset ${epoch} gave the shard its owner.`,
-    ];
+    const notes = [ownerNote(epoch, server, origin)];
     const batch = state.bundle?.body.batches.find(({id}) => id === batchId);
     if (batch?.state === 'leaving') {
       const when = new Date(batch.leaveAtMs).toISOString();
@@ -168,17 +170,48 @@
   return {version: body.version, offset, author, keyId: signed.keyId};
 }
 
+function ownerNote(
+  epoch: number,
+  server: string | null,
+  origin: ShardOrigin | null,
+): string {
+  if (server === null && origin === null) {
+    return 'No record has given the shard an owner yet.';
+  }
+  const record = `The record at offset ${epoch}`;
+  if (origin === null) {
+    return (
+      `${record} gave the shard its owner; this VM started from a later ` +
+      'state and does not know the reason.'
+    );
+  }
+  const {reason, author} = origin;
+  return `${record} by ${author} gave the shard its owner: ${REASON_TEXT[reason]}.`;
+}
+
+const REASON_TEXT: Readonly<Record<ShardOrigin['reason'], string>> = {
+  initial: 'it had none before (initial)',
+  'server-lost': 'the former owner was lost (server-lost)',
+  leaving: "the former owner's batch is leaving (leaving)",
+  balance: 'the load was uneven (balance)',
+  'hot-key': 'one of its keys is hot (hot-key)',
+  stopped: 'the bundle lists the former owner as stopped (stopped)',
+  isolate: 'a hot key became a shard of its own (isolate)',
+  merge: 'an isolated key returned to its hash shard (merge)',
+};
+
 const drainView =
   (state: RouterState) =>
-  (progress: LeavingProgress): DrainView => {
+  ({zone, progress}: ZoneProgress): DrainView => {
     const servers = state.bundle?.body.servers ?? [];
-    const {batch, leaveAtMs, shardsLeft, expectedFinishWallMs} = progress;
+    const {batch, leaveAtMs, totalShards, shardsLeft} = progress;
     return {
       batch,
       leaveAtMs,
-      servers: servers.filter(server => server.batch === batch).length,
+      zone,
+      servers: servers.filter(s => s.batch === batch && s.zone === zone).length,
+      shardsTotal: totalShards,
       shardsLeft,
-      inFlight: 0,
-      expectedFinishMs: expectedFinishWallMs,
+      expectedFinishMs: progress.expectedFinishWallMs,
     };
   };
--- a/packages/daemon/src/request/server-dispatcher.ts
+++ b/packages/daemon/src/request/server-dispatcher.ts
@@ -500,7 +500,13 @@
     events({
       kind: 'server-crash',
       cause: 'connection-lost',
-      fields: {server: this.server.id, suspects: records.length},
+      fields: {
+        server: this.server.id,
+        service: this.server.service,
+        zone: this.server.zone,
+        suspects: records.length,
+        refused: records.filter(r => r.count >= CRASH_REFUSE_COUNT).length,
+      },
     });
     onCrash(records);
   }
--- a/packages/operator/src/views.ts
+++ b/packages/operator/src/views.ts
@@ -10,13 +10,15 @@
 });
 export type HealthView = z.infer<typeof healthViewSchema>;
 
-/** Progress of a batch that is leaving. */
+/** Progress of a batch that is leaving, in one zone. */
 export const drainViewSchema = z.object({
   batch: z.string(),
   leaveAtMs: z.number(),
+  zone: z.string(),
   servers: z.int(),
+  /** Most shards that the batch owned in the zone during this term. */
+  shardsTotal: z.int(),
   shardsLeft: z.int(),
-  inFlight: z.int(),
   /** Wall time of the expected finish; null when it is not known. */
   expectedFinishMs: z.number().nullable(),
 });
@@ -54,6 +56,7 @@
       silentMs: z.number(),
     }),
   ),
+  /** Drains in the zones whose assigner the VM is. */
   drains: z.array(drainViewSchema),
 });
 export type StatusView = z.infer<typeof statusViewSchema>;
@@ -88,6 +91,8 @@
   server: z.string().nullable(),
   batch: z.string().nullable(),
   epoch: z.int(),
+  /** Why the shard got its owner; null when the VM did not see the record. */
+  reason: z.string().nullable(),
   zone: z.string(),
   assigner: z.string().nullable(),
   term: z.int(),
--- a/packages/operator/test/operator.test.ts
+++ b/packages/operator/test/operator.test.ts
@@ -39,6 +39,7 @@
   server: 's1',
   batch: 'b1',
   epoch: 11,
+  reason: null,
   zone: 'a',
   assigner: 'entry-1',
   term: 4,
