Add a cluster without load, and show finished drains as finished

Cause: commands of the operations page need a running deployment. `npm run cluster` starts the processes of the harness, prints addresses and files, and ends them on SIGINT. The first run of `drain status` in it showed a batch that had left in time as late once its time had passed, because the expected finish of an empty batch is the present time.

Change: a batch without shards is shown as finished, without a verdict on its time; move-drained names the former owner; event times are whole milliseconds.

--- a/packages/ctl/src/commands/drain-status.ts
+++ b/packages/ctl/src/commands/drain-status.ts
@@ -1,4 +1,5 @@
 /** `drain status`: progress of the batches that are leaving. */
+import type {DrainView} from '@wisteriarun/operator';
 import {askAll, createClients, printJson} from '../connection.js';
 import type {ConnectionOptions} from '../connection.js';
 import type {CliEnvironment} from '../environment.js';
@@ -54,8 +55,8 @@
           drain.shardsTotal,
           drain.shardsLeft,
           percentDone(drain.shardsTotal, drain.shardsLeft),
-          formatTime(drain.expectedFinishMs),
-          isOnTime(drain.expectedFinishMs, drain.leaveAtMs),
+          isFinished(drain) ? 'finished' : formatTime(drain.expectedFinishMs),
+          isOnTime(drain),
         ]),
       ),
     );
@@ -73,7 +74,13 @@
     : `${Math.floor((100 * (total - left)) / total)}%`;
 }
 
-function isOnTime(finishMs: number | null, leaveAtMs: number): string | null {
-  if (finishMs === null) return null;
-  return finishMs <= leaveAtMs ? 'yes' : 'NO';
+function isFinished({shardsLeft}: DrainView): boolean {
+  return shardsLeft === 0;
+}
+
+/** Not stated after the end, because the time of the end is not kept. */
+function isOnTime(drain: DrainView): string | null {
+  const {expectedFinishMs, leaveAtMs} = drain;
+  if (expectedFinishMs === null || isFinished(drain)) return null;
+  return expectedFinishMs <= leaveAtMs ? 'yes' : 'NO';
 }
--- a/packages/ctl/test/ctl.test.ts
+++ b/packages/ctl/test/ctl.test.ts
@@ -42,6 +42,7 @@
   ],
 };
 
+let shardsLeft = 4;
 const status = (vm: string): StatusView => ({
   deployment: 'd',
   vm,
@@ -61,7 +62,7 @@
       zone: vm === 'entry-1' ? 'a' : 'b',
       servers: 2,
       shardsTotal: 16,
-      shardsLeft: 4,
+      shardsLeft,
       expectedFinishMs: 1_000_001,
     },
   ],
@@ -174,6 +175,14 @@
     ]);
   });
 
+  // Guards against a batch that is shown as late after it has left in time.
+  test('drain status shows a finished batch as finished', async () => {
+    shardsLeft = 0;
+    const table = await run(['drain', 'status']);
+    shardsLeft = 4;
+    expect(table.out).toMatch(/^b1 +a .* 16 +0 +100% +finished +-$/m);
+  });
+
   test('explain shows the route and the causes', async () => {
     const table = await run(['explain', 'filing', 'case/1']);
     expect(table.code).toBe(EXIT_CODES.ok);
--- a/packages/daemon/src/control/term-events.ts
+++ b/packages/daemon/src/control/term-events.ts
@@ -41,8 +41,8 @@
 /** Turns commands, calls and records of a term into events. */
 export class TermEvents {
   private readonly servers = new Map<string, ServerSight>();
-  /** Shards whose drain was reported, as `service/shard`. */
-  private readonly draining = new Set<string>();
+  /** Owners of the shards whose drain was reported, by `service/shard`. */
+  private readonly draining = new Map<string, string>();
   /** Part that was reported last, by batch and its time. */
   private readonly parts = new Map<string, number>();
   /** Given-up moves of the present step. */
@@ -74,7 +74,9 @@
       // A drain is sent again until it is answered.
       const fresh = shards.filter(s => !this.draining.has(`${service}/${s}`));
       if (fresh.length === 0) return;
-      for (const shard of fresh) this.draining.add(`${service}/${shard}`);
+      for (const shard of fresh) {
+        this.draining.set(`${service}/${shard}`, server);
+      }
       const fields = {service, from: server, ...listOf(fresh)};
       this.emit({kind: 'move-started', fields});
     } else if (command.kind === 'append' && command.record.kind === 'assign') {
@@ -218,22 +220,24 @@
 
   /** Planned moves whose shards are drained when their record is appended. */
   private onAssign(changes: readonly ShardChange[]): void {
-    const drained = changes.filter(({service, shard}) =>
-      this.draining.has(`${service}/${shard}`),
-    );
-    const groups = groupBy(drained, ({service, server, reason}) =>
-      [service, server, reason].join(' '),
+    const drained = changes.flatMap(change => {
+      const from = this.draining.get(`${change.service}/${change.shard}`);
+      return from === undefined ? [] : [{...change, from}];
+    });
+    const groups = groupBy(drained, ({service, from, server, reason}) =>
+      [service, from, server, reason].join(' '),
     );
     for (const group of groups) {
-      const {service, server, reason} = group[0]!;
+      const {service, from, server, reason} = group[0]!;
       const shards = group.map(({shard}) => shard);
-      const fields = {service, to: server ?? '', ...listOf(shards)};
+      const fields = {service, from, to: server ?? '', ...listOf(shards)};
       this.emit({kind: 'move-drained', cause: reason, fields});
     }
   }
 
   private onProgress(progress: LeavingProgress, offset: number): void {
     const {batch, leaveAtMs, totalShards, shardsLeft} = progress;
+    const finishMs = progress.expectedFinishWallMs;
     const id = `${batch} ${leaveAtMs}`;
     const moved = totalShards - shardsLeft;
     const part =
@@ -251,7 +255,8 @@
         leaveAtMs,
         shardsTotal: totalShards,
         shardsLeft,
-        expectedFinishWallMs: progress.expectedFinishWallMs ?? 'unknown',
+        expectedFinishWallMs:
+          finishMs === null ? 'unknown' : Math.round(finishMs),
       },
     });
   }
--- a/packages/daemon/test/events.test.ts
+++ b/packages/daemon/test/events.test.ts
@@ -136,6 +136,7 @@
       'fence-accepted',
       'move-served',
     ]);
+    expect(events[1]?.fields).toMatchObject({from: 's0', to: 's1', shard: 4});
     expect(events.at(-1)).toMatchObject({
       epoch: 9,
       fields: {zone: 'a', server: 's1', service: 'filing', shard: 4},
--- /dev/null
+++ b/testing/demo/src/cluster-main.ts
@@ -0,0 +1,83 @@
+#!/usr/bin/env node
+/**
+ * Starts a deployment without load, prints its addresses, and keeps it until
+ * SIGINT or SIGTERM. Private values are in files, never in the output.
+ */
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {Cluster, type EntrySpec, type ServerSpec} from './cluster.js';
+
+const ZONES = ['zone-a', 'zone-b'] as const;
+const BUNDLE_LIMIT_MS = 9_000;
+const PRIVATE_MODE = 0o600;
+
+const SERVERS: readonly ServerSpec[] = ['batch-1', 'batch-2'].flatMap(batch =>
+  ZONES.flatMap(zone =>
+    ['transcripts', 'recordings'].map(service => ({
+      id: `${service}-${zone}-${batch}`,
+      service,
+      zone,
+      batch,
+      slots: 3,
+    })),
+  ),
+);
+
+const ENTRIES: readonly EntrySpec[] = ZONES.flatMap(zone =>
+  [1, 2].map(index => ({id: `entry-${zone}-${index}`, zone})),
+);
+
+const print = (name: string, value: string) =>
+  process.stdout.write(`${name}=${value}\n`);
+
+async function run(): Promise<void> {
+  const stopped = new Promise<void>(resolve => {
+    process.once('SIGINT', resolve);
+    process.once('SIGTERM', resolve);
+  });
+  const cluster = await Cluster.start({
+    zones: ZONES,
+    services: [
+      {id: 'transcripts', shards: 32},
+      {id: 'recordings', shards: 8},
+    ],
+    servers: SERVERS,
+    entries: ENTRIES,
+  });
+  try {
+    await cluster.waitUntilServing(BUNDLE_LIMIT_MS);
+    describe(cluster);
+    await stopped;
+  } finally {
+    await cluster.close();
+  }
+}
+
+function describe(cluster: Cluster): void {
+  const inDirectory = (name: string, content: string) => {
+    const path = join(cluster.directory, name);
+    writeFileSync(path, content, {mode: PRIVATE_MODE});
+    return path;
+  };
+  const operators = ENTRIES.map(({id}) => cluster.operatorAddress(id));
+  const {log, stream, rootKeyId, rootPublicKey} = cluster.publishing();
+  print('directory', cluster.directory);
+  print('callers', cluster.entryAddresses().join(','));
+  print('operators', operators.join(','));
+  print('token_file', inDirectory('token', `${cluster.operatorToken}\n`));
+  print('log', log);
+  print('stream', stream);
+  print('root_key_id', rootKeyId);
+  print('root_public_key', rootPublicKey);
+  print('root_key_file', inDirectory('root.pem', cluster.rootKeyPem()));
+  const bundle = JSON.stringify(cluster.currentBundle(), null, 2);
+  print('bundle_file', inDirectory('bundle-1.json', `${bundle}\n`));
+  print('ready', 'true');
+}
+
+try {
+  await run();
+} catch (error) {
+  process.stdout.write(`failed: ${(error as Error).message}\n`);
+  process.exitCode = 1;
+}
--- a/testing/demo/src/cluster.ts
+++ b/testing/demo/src/cluster.ts
@@ -367,6 +367,18 @@
     return bundle;
   }
 
+  /** What `wisteriactl bundle publish` needs to know of the cluster. */
+  publishing() {
+    const {keyId: rootKeyId, publicKey: rootPublicKey} = this.signer;
+    return {log: this.logUrl, stream: STREAM, rootKeyId, rootPublicKey};
+  }
+
+  /** Private key of the first signer, PKCS #8 in PEM. */
+  rootKeyPem(): string {
+    const pem = this.signer.privateKey.export({format: 'pem', type: 'pkcs8'});
+    return pem.toString();
+  }
+
   /** A server as bundles describe it. */
   describeServer(id: string): Server {
     const {spec, port} = this.server(id);
