--- a/packages/daemon/src/control/log-tail.ts
+++ b/packages/daemon/src/control/log-tail.ts
@@ -22,6 +22,8 @@
     up: boolean,
     error: WisteriarunError | null,
   ) => void;
+  /** Called after each append with its retries. */
+  readonly onAppend?: (result: AppendState, durationMs: number) => void;
 }
 
 /** Recovers, follows and appends. */
@@ -83,12 +85,14 @@
    * @returns What is known about the record.
    */
   async append(record: LogRecord): Promise<AppendState> {
+    const startMs = performance.now();
     const appended = await this.appender.append(record, {
       from: this.options.replica.state.offset + 1,
       timeoutMs: APPEND_TIMEOUT_MS,
     });
-    if (appended.isOk) return 'appended';
-    return appended.error.kind === 'append-uncertain' ? 'uncertain' : 'absent';
+    const result = appendState(appended);
+    this.options.onAppend?.(result, performance.now() - startMs);
+    return result;
   }
 
   /**
@@ -150,3 +154,10 @@
     this.options.onAvailability(up, error);
   }
 }
+
+function appendState(
+  appended: Awaited<ReturnType<LogAppender['append']>>,
+): AppendState {
+  if (appended.isOk) return 'appended';
+  return appended.error.kind === 'append-uncertain' ? 'uncertain' : 'absent';
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,6 +28,7 @@
 import {followIsolation} from './control/isolation.js';
 import {LOAD_REPORT_INTERVAL_MS, reportLoads} from './control/load-reporter.js';
 import {LogTail} from './control/log-tail.js';
+import {PeerEvents} from './control/peer-events.js';
 import {PeerDuties} from './control/peer-duties.js';
 import {PeerRoster, instanceId} from './control/peer-roster.js';
 import {PermissionTable} from './control/permissions.js';
@@ -35,6 +36,12 @@
 import {ServerClients} from './control/server-clients.js';
 import {SnapshotWriter} from './control/snapshot-writer.js';
 import {StateReplica, type FoldedRecord} from './control/state-replica.js';
+import {
+  DaemonMetrics,
+  ImbalanceMeter,
+  RequestMeter,
+  UnavailableTime,
+} from './metrics/index.js';
 import {OperatorView} from './operator-view.js';
 import {DispatcherHost, EntryHandler} from './request/index.js';
 
@@ -54,6 +61,12 @@
   private readonly vm: string;
   private readonly timeline: Timeline;
   private readonly metrics = new Metrics();
+  private readonly requestMeter: RequestMeter;
+  private readonly daemonMetrics: DaemonMetrics;
+  private readonly imbalance: ImbalanceMeter;
+  private readonly peerEvents = new PeerEvents(this.clock, event =>
+    this.emit(event),
+  );
   private readonly directory = new DispatchDirectory();
   private readonly replica: StateReplica;
   private readonly routes: RouteTable;
@@ -96,6 +109,15 @@
     this.startedAtMs = this.clock.monotonicMs();
     const {clock} = this;
     this.timeline = new Timeline({process: this.vm, zone: vm.zone, clock});
+    const unavailable = new UnavailableTime(this.metrics, clock);
+    this.requestMeter = new RequestMeter(this.metrics, unavailable);
+    this.daemonMetrics = this.createMetrics();
+    this.imbalance = new ImbalanceMeter({
+      metrics: this.metrics,
+      clock,
+      server: id => this.routes.server(id),
+      isAssigner: zone => this.runner.zones.includes(zone),
+    });
     const signers = [{keyId: trust.rootKeyId, publicKey: trust.rootPublicKey}];
     this.replica = new StateReplica(signers);
     this.log = new LogTail({
@@ -104,6 +126,8 @@
       trust: signers,
       replica: this.replica,
       onAvailability: (up, error) => this.onLogAvailability(up, error),
+      onAppend: (result, durationMs) =>
+        this.daemonMetrics.appended(result, durationMs),
     });
     this.mesh = this.createMesh();
     this.vmList = new VmListWatcher({
@@ -126,6 +150,7 @@
       clock,
       permissions: this.permissions,
       events: event => this.emit(event),
+      meter: this.requestMeter,
     });
     this.runner = this.createRunner();
     this.duties = this.createDuties();
@@ -174,12 +199,13 @@
   async shutDown(): Promise<void> {
     if (this.draining) return;
     this.draining = true;
-    this.emit({kind: 'draining', cause: 'signal'});
+    this.emit({kind: 'drain-started', cause: 'signal'});
     this.callers.beginShutdown();
     await delay(this.settings.limits.shutdownDelayMs);
     await this.handOverDuties();
     await this.callers.close();
     await this.relay.close();
+    this.emit({kind: 'drain-ended'});
     await this.close();
   }
 
@@ -187,6 +213,7 @@
   async close(): Promise<void> {
     if (this.closed) return;
     this.closed = true;
+    this.daemonMetrics.close();
     this.emit({kind: 'stopped'});
     this.runner.close();
     this.vmList.close();
@@ -232,32 +259,38 @@
   ): void {
     if (folded) {
       this.reportVerdict(folded);
+      this.daemonMetrics.onFolded(folded);
       this.snapshots.onFolded(folded);
       followIsolation(this.dispatcher, this.hasher, folded, before, state);
     }
     this.routes.onChanged();
     this.dispatcher.onRoutesChanged();
-    this.runner.onFolded(state, folded);
+    this.runner.onFolded(state, folded, before);
     this.duties.onStateChanged();
     if (before.bundle !== state.bundle) this.onBundle(state);
   }
 
-  private onBundle({bundle, offset}: RouterState): void {
+  private onBundle({bundle}: RouterState): void {
     if (!bundle) return;
     this.servers.prune();
     const listed = new Set(bundle.body.servers.map(({id}) => id));
     this.directory.prune(server => listed.has(server));
+    const {offset, author} = bundle;
     const {version} = bundle.body;
-    this.emit({kind: 'bundle-in-force', offset, fields: {version}});
+    this.emit({kind: 'bundle-in-force', offset, fields: {version, author}});
   }
 
   private reportVerdict({offset, verdict}: FoldedRecord): void {
     if (verdict.kind !== 'rejected') return;
+    const {record} = verdict;
     this.emit({
-      kind: 'record-rejected',
+      kind: record?.kind === 'bundle' ? 'bundle-rejected' : 'record-rejected',
       offset,
       cause: describeError(verdict.error),
-      fields: {author: verdict.record?.author ?? 'unknown'},
+      fields: {
+        record: record?.kind ?? 'unknown',
+        author: record?.author ?? 'unknown',
+      },
     });
   }
 
@@ -266,6 +299,7 @@
       this.duties.handle(from, message),
     );
     void this.mesh.linkEvents.observe(event => {
+      this.peerEvents.onLink(event);
       if (event.kind === 'link-up') this.duties.greet(event.vm);
       this.routes.onChanged();
     });
@@ -280,6 +314,8 @@
 
   private keepHouse(): void {
     void this.snapshots.step();
+    this.daemonMetrics.tick();
+    this.peerEvents.check(this.mesh.peers());
     if (this.log.isAvailable) return;
     const best = this.mesh
       .peers()
@@ -306,6 +342,17 @@
     this.mesh.setPeers([...this.settings.peers.seeds, ...listed]);
   }
 
+  private createMetrics(): DaemonMetrics {
+    return new DaemonMetrics(this.metrics, {
+      clock: this.clock,
+      uses: () => this.dispatcher.uses(),
+      logAvailable: () => this.log.isAvailable,
+      offset: () => this.state.offset,
+      peersConnected: () =>
+        this.mesh.peers().filter(peer => peer.connected).length,
+    });
+  }
+
   private createMesh(): PeerMesh {
     const {vm, relay, peer, trust} = this.settings;
     let seq = 0;
@@ -376,6 +423,7 @@
       send: (vm, message) => this.duties.send(vm, message),
       publishTable: table => this.duties.publishTable(table),
       emit: event => this.emit(event),
+      leases: this.daemonMetrics,
     });
   }
 
@@ -396,6 +444,7 @@
       broadcast: (message: PeerMessage) => {
         this.mesh.broadcast(message);
       },
+      onLoads: ({servers}) => this.imbalance.note(servers),
     });
   }
 
@@ -419,6 +468,7 @@
       local: this.dispatcher,
       relay: this.relayClient,
       random: Math.random,
+      meter: this.requestMeter,
     });
   }
 
@@ -438,14 +488,11 @@
       timeline: this.timeline,
       metrics: this.metrics,
       draining: () => this.draining,
-      leaving: () => this.leavingProgress(),
+      originOf: (...shard) => this.replica.originOf(...shard),
+      leaving: () => this.runner.progress(),
     });
     return new OperatorServer({...operator, source});
   }
-
-  private *leavingProgress() {
-    for (const assigner of this.runner.assigners()) yield* assigner.progress;
-  }
 }
 
 /** A port of the settings that cannot be opened. */
