Count a server's speed once when shards are placed

Cause: dispatchers report busy slots, which grow when a server is slow, and placement divided them by slots times speed. Speed counted twice, so balance moves drove fast servers to a higher utilisation than slow ones.

Ruled out: report noise and the imbalance between zones.

Change: placement converts busy slots to slots of a server of speed 1 by the speed of the server that reported them.

--- a/packages/core/src/core/ownership/placement.ts
+++ b/packages/core/src/core/ownership/placement.ts
@@ -19,6 +19,8 @@
   readonly server: string;
   /** Slots times relative speed. */
   readonly capacity: number;
+  /** Relative speed; 1 by default. */
+  readonly speed?: number;
 }
 
 /** A shard of a service. */
@@ -30,7 +32,7 @@
 /** A shard with its owner and load. */
 export interface PlacedShard extends ShardId {
   readonly server: string;
-  /** Load in slots. */
+  /** Busy slots on this server, which depend on its speed. */
   readonly load: number;
 }
 
@@ -73,7 +75,7 @@
   return servers.map(s => {
     const timeMs = reports.get(s.id)?.serviceTimeMs ?? 0;
     const speed = timeMs > 0 && medianMs > 0 ? medianMs / timeMs : 1;
-    return {server: s.id, capacity: s.slots * speed};
+    return {server: s.id, capacity: s.slots * speed, speed};
   });
 }
 
@@ -97,7 +99,7 @@
   reason: AssignReason,
 ): Move[] {
   if (targets.length === 0) return [];
-  const used = sumLoads(placed);
+  const used = sumLoads(toWork(placed, targets));
   const ordered = [...shards].sort(
     (a, b) => b.load - a.load || a.shard - b.shard,
   );
@@ -117,6 +119,19 @@
   });
 }
 
+/**
+ * Converts busy slots to slots of a server of speed 1. A server is as busy as
+ * its speed makes it, so dividing its busy slots by a capacity that includes
+ * the speed would count the speed twice and overload the fast servers.
+ */
+function toWork(
+  placed: readonly PlacedShard[],
+  servers: readonly ServerCapacity[],
+): PlacedShard[] {
+  const speeds = new Map(servers.map(s => [s.server, s.speed ?? 1]));
+  return placed.map(p => ({...p, load: p.load * (speeds.get(p.server) ?? 1)}));
+}
+
 function sumLoads(placed: readonly PlacedShard[]): Map<string, number> {
   const used = new Map<string, number>();
   for (const p of placed) {
@@ -141,7 +156,7 @@
   let capacity = 0;
   let top = 0;
   const used = new Map<string, number>();
-  for (const p of placed) {
+  for (const p of toWork(placed, servers)) {
     used.set(p.server, (used.get(p.server) ?? 0) + p.load);
   }
   for (const s of servers) {
@@ -168,12 +183,13 @@
 ): Move | null {
   if (servers.length < 2) return null;
   if (computeImbalance(placed, servers) <= IMBALANCE_THRESHOLD) return null;
-  const used = sumLoads(placed);
+  const work = toWork(placed, servers);
+  const used = sumLoads(work);
   const usage = (s: ServerCapacity) => (used.get(s.server) ?? 0) / s.capacity;
   const top = servers.reduce((a, b) => (usage(b) > usage(a) ? b : a));
   let best: Move | null = null;
   let bestUsage = usage(top);
-  for (const p of placed) {
+  for (const p of work) {
     if (p.server !== top.server || p.load <= 0 || !movable(p)) continue;
     const left = usage(top) - p.load / top.capacity;
     for (const t of servers) {
