--- /dev/null
+++ b/testing/bench/src/capacity/control-cost.ts
@@ -0,0 +1,316 @@
+/** Costs of leases, of the assigner's steps and of following the log. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {BackendClient} from '@wisteriarun/backend';
+import {
+  Assigner,
+  fold,
+  type LeaseRequest,
+  type RouterState,
+  type ServerStatus,
+  type StepInput,
+} from '@wisteriarun/core';
+import {LogClient, LogFollower} from '@wisteriarun/log';
+import {cpuOf, medianOf, timeOf, type Measured} from './measure.js';
+import {StandinProcess} from './process.js';
+import {socketBytes} from './socket-bytes.js';
+import {
+  HOLDER,
+  SERVICE,
+  TRUST,
+  ZONE,
+  append,
+  assignRecord,
+  ownedState,
+  serverName,
+} from './states.js';
+
+const LEASE_CALLS = 400;
+const STEP_MS = 25;
+const RECORDS = 1_600;
+const STREAM = 'capacity';
+
+/** Measures leases, steps and the log. */
+export async function measureControl(): Promise<Measured[]> {
+  const lease = await leasePoints();
+  const steps = (pairs: readonly [number, number][], by: 0 | 1) =>
+    pairs.map(pair => ({x: pair[by], y: stepTime(...pair)}));
+  const log = await logPoints();
+  return [
+    {name: 'lease call, per grant', unit: 'us', points: lease.time},
+    {
+      name: 'lease call, bytes both ways, per grant',
+      unit: 'B',
+      points: lease.bytes,
+    },
+    {
+      name: 'assigner step, 256 shards, per server',
+      unit: 'us',
+      points: steps(
+        [
+          [8, 256],
+          [16, 256],
+          [32, 256],
+        ],
+        0,
+      ),
+    },
+    {
+      name: 'assigner step, 32 servers, per shard of the zone',
+      unit: 'us',
+      points: steps(
+        [
+          [32, 64],
+          [32, 512],
+          [32, 2_048],
+        ],
+        1,
+      ),
+    },
+    {
+      name: 'first assigner step after a record, per shard of the deployment',
+      unit: 'us',
+      points: [1_024, 8_192, 65_536].map(x => ({x, y: indexTime(x)})),
+    },
+    {name: 'empty poll of the log', unit: 'us', points: log.polls},
+    {name: 'empty poll of the log, bytes', unit: 'B', points: log.pollBytes},
+    {
+      name: 'record read and folded (assign, 1 change, 1,024 shards)',
+      unit: 'us',
+      points: log.records,
+    },
+  ];
+}
+
+async function leasePoints() {
+  const server = await StandinProcess.start('backend-server', ['--id', 's1']);
+  const {host, port} = server;
+  const client = new BackendClient({id: 's1', host, port, connections: 4});
+  const time = [];
+  const bytes = [];
+  let seq = 0;
+  for (const x of [8, 32, 128]) {
+    const call = async () => {
+      const status = (await client.status()).unwrapOrElse(fail);
+      const lease = leaseOf(x, status, (seq += 1));
+      const before = socketBytes();
+      const us = await cpuOf(async () => {
+        for (let i = 0; i < LEASE_CALLS; i++) {
+          const next = {...lease, seq: (seq += 1)};
+          (await client.lease(next)).unwrapOrElse(fail);
+        }
+      });
+      lastBytes = (socketBytes() - before) / LEASE_CALLS;
+      return us / LEASE_CALLS;
+    };
+    let lastBytes = 0;
+    await call();
+    time.push({x, y: await medianOf(call)});
+    bytes.push({x, y: lastBytes});
+  }
+  await client.close();
+  await server.close();
+  return {time, bytes};
+}
+
+function leaseOf(
+  grants: number,
+  status: ServerStatus,
+  seq: number,
+): LeaseRequest {
+  return {
+    zone: ZONE,
+    term: 1_234_567,
+    fence: {term: 1_234_567, seq: 12},
+    dispatcher: HOLDER,
+    expiresAtMs: status.clockMs + 60_000,
+    grants: Array.from({length: grants}, (_, i) => ({
+      service: SERVICE,
+      shard: i * 31,
+      epoch: 1_234_567 + i,
+    })),
+    bootId: status.bootId,
+    seq,
+  };
+}
+
+/** An assigner whose servers have all answered, with its next inputs. */
+function runningAssigner(servers: number, shards: number) {
+  const state = ownedState(servers, shards);
+  const assigner = new Assigner({
+    vm: HOLDER,
+    zone: ZONE,
+    term: 2,
+    termAcknowledgedAtMs: 0,
+    nowMs: 0,
+    hasPredecessor: false,
+  });
+  let nowMs = 0;
+  const input = (at: RouterState = state): StepInput => ({
+    nowMs: (nowMs += STEP_MS),
+    wallMs: nowMs,
+    state: at,
+    entries: Array.from({length: 12}, (_, i) => ({
+      vm: `entry-${i}.0a1b2c3d`,
+      capacity: 1,
+      draining: false,
+    })),
+    removedServers: new Set(),
+    logAvailable: true,
+    termConfirmedAtMs: nowMs,
+  });
+  const dispatchers = new Map<string, string>();
+  const step = (at?: RouterState) => {
+    for (const command of assigner.step(input(at))) {
+      if (command.kind === 'dispatch-table') {
+        for (const row of command.table.rows) {
+          dispatchers.set(row.server, row.dispatcher);
+        }
+      }
+      if (command.kind !== 'lease' && command.kind !== 'probe') continue;
+      const sentLease = command.kind === 'lease' ? command.request : null;
+      const status = statusOf(command.server, nowMs, sentLease);
+      const receivedAtMs = nowMs;
+      assigner.onServerStatus({
+        server: command.server,
+        receivedAtMs,
+        status,
+        sentLease,
+      });
+    }
+  };
+  for (let i = 0; i < 100; i++) step();
+  for (let i = 0; i < servers; i++) {
+    assigner.onLoadReport({
+      kind: 'load-report',
+      vm: dispatchers.get(serverName(i))!,
+      servers: [loadOf(state, i)],
+    });
+  }
+  return {state, step};
+}
+
+function loadOf(state: RouterState, index: number) {
+  const server = serverName(index);
+  const {rows} = state.services.get(SERVICE)!;
+  return {
+    server,
+    serviceTimeMs: 10,
+    busySlots: 2,
+    queued: 0,
+    shards: rows.flatMap((row, shard) =>
+      row.server === server
+        ? [
+            {
+              service: SERVICE,
+              shard,
+              busySlots: 0.05,
+              hotKey: `filing-${shard}`,
+              hotKeyShare: 0.1,
+            },
+          ]
+        : [],
+    ),
+  };
+}
+
+function statusOf(
+  server: string,
+  clockMs: number,
+  lease: LeaseRequest | null,
+): ServerStatus {
+  return {
+    bootId: `${server}-boot`,
+    clockMs,
+    term: 2,
+    fence: lease?.fence ?? null,
+    dispatcher: lease?.dispatcher ?? null,
+    busy: [],
+    inFlight: 0,
+    load: 0,
+    draining: false,
+  };
+}
+
+function stepTime(servers: number, shards: number): number {
+  const {step} = runningAssigner(servers, shards);
+  return timeOf(() => step(), 50);
+}
+
+/** Step with a new state minus the same step with the known one. */
+function indexTime(shards: number): number {
+  const {state, step} = runningAssigner(32, shards);
+  const other = append(state, assignRecord(state, 1, 32));
+  let flip = false;
+  const changed = timeOf(() => {
+    flip = !flip;
+    step(flip ? other : state);
+  }, 50);
+  return Math.max(0, changed - timeOf(() => step(), 50));
+}
+
+async function logPoints() {
+  const service = await StandinProcess.start('log-service');
+  const endpoint = `http://${service.host}:${service.port}`;
+  const client = new LogClient({endpoint, stream: STREAM});
+  const polls = [];
+  const pollBytes = [];
+  for (const x of [100, 200, 400]) {
+    const poll = () => client.read(1, {waitMs: 0});
+    const run = async () => {
+      for (let i = 0; i < x; i++) (await poll()).unwrapOrElse(fail);
+    };
+    await run();
+    const before = socketBytes();
+    await run();
+    pollBytes.push({x, y: socketBytes() - before});
+    polls.push({x, y: await medianOf(() => cpuOf(run))});
+  }
+  const {records, total} = manyRecords(RECORDS);
+  for (const record of records) {
+    (await client.append(record as never)).unwrapOrElse(fail);
+  }
+  const points = [];
+  for (const x of [400, 800, 1_600]) {
+    points.push({x, y: await medianOf(() => followTime(client, total - x))});
+  }
+  await client.close();
+  await service.close();
+  return {polls, pollBytes, records: points};
+}
+
+/** Records that all fold, the first three of which build the state. */
+function manyRecords(count: number) {
+  const records: unknown[] = [];
+  let state = ownedState(32, 1_024);
+  for (let i = 0; i < count; i++) {
+    const record = assignRecord(state, 1, 32);
+    records.push({...record, id: `record-${i}`});
+    state = append(state, record);
+  }
+  return {records, total: count};
+}
+
+/** Follows and folds the records after an offset of the stream. */
+async function followTime(client: LogClient, skip: number): Promise<number> {
+  let state = ownedState(32, 1_024);
+  // The stream lacks the records that build the state.
+  const shift = state.offset;
+  let last = skip;
+  const follower = new LogFollower({client, from: skip + 1, waitMs: 0});
+  void follower.batches.observe(records => {
+    for (const {offset, record} of records) {
+      state = fold(state, {offset: offset + shift, record}, TRUST).state;
+      last = offset;
+    }
+  });
+  const us = await cpuOf(async () => {
+    follower.start();
+    while (last < RECORDS) await sleep(2);
+  });
+  await follower.close();
+  return us;
+}
+
+function fail(error: unknown): never {
+  throw new Error(JSON.stringify(error));
+}
--- /dev/null
+++ b/testing/bench/src/capacity/main.ts
@@ -0,0 +1,40 @@
+#!/usr/bin/env node
+/** Measures the slopes on which docs/CAPACITY.md rests. */
+import {Command} from 'commander';
+import {measureControl} from './control-cost.js';
+import type {Measured} from './measure.js';
+import {measurePeers} from './peer-cost.js';
+import {measureState} from './state-cost.js';
+import {fitLine, formatTable, round} from './stats.js';
+
+const TOTAL_LIMIT_MS = 175_000;
+
+const {json} = new Command('bench:capacity')
+  .option('--json', 'print JSON')
+  .parse()
+  .opts<{json?: boolean}>();
+
+setTimeout(() => {
+  process.stderr.write(`failed: not finished in ${TOTAL_LIMIT_MS} ms\n`);
+  process.exit(1);
+}, TOTAL_LIMIT_MS).unref();
+
+const measured: Measured[] = [
+  ...(await measureState()),
+  ...(await measurePeers()),
+  ...(await measureControl()),
+];
+const rows = measured.map(({name, unit, points}) => {
+  const line = fitLine(points);
+  return {
+    measure: name,
+    unit,
+    slope: round(line.slope),
+    'at zero': round(line.intercept),
+    r2: round(line.r2),
+    points: points.map(p => `${p.x}:${round(p.y)}`).join(' '),
+  };
+});
+const text = json ? JSON.stringify(rows, null, 2) : formatTable(rows);
+process.stdout.write(`${text}\n`);
+process.exit(0);
--- /dev/null
+++ b/testing/bench/src/capacity/measure.ts
@@ -0,0 +1,92 @@
+/** Ways to measure processor time and memory. */
+import {median} from './stats.js';
+
+const REPEATS = 5;
+
+/** A slope with the points that it was fitted to. */
+export interface Measured {
+  readonly name: string;
+  readonly unit: string;
+  /** Value at each size. */
+  readonly points: readonly {readonly x: number; readonly y: number}[];
+}
+
+/**
+ * Median time of a synchronous call.
+ *
+ * @param run - Called several times per sample.
+ * @param minMs - Least length of one sample.
+ * @returns Microseconds for each call.
+ */
+export function timeOf(run: () => void, minMs = 15): number {
+  run();
+  const samples: number[] = [];
+  for (let i = 0; i < REPEATS; i++) {
+    const startMs = performance.now();
+    let calls = 0;
+    while (performance.now() - startMs < minMs) {
+      run();
+      calls += 1;
+    }
+    samples.push(((performance.now() - startMs) * 1_000) / calls);
+  }
+  return median(samples);
+}
+
+/**
+ * Processor time of the process during a task, user and system.
+ *
+ * @param task - The task.
+ * @returns Microseconds.
+ */
+export async function cpuOf(task: () => Promise<unknown>): Promise<number> {
+  const before = process.cpuUsage();
+  await task();
+  const {user, system} = process.cpuUsage(before);
+  return user + system;
+}
+
+/**
+ * Median of several measurements.
+ *
+ * @param measure - One measurement.
+ * @param repeats - How often.
+ * @returns The median.
+ */
+export async function medianOf(
+  measure: () => Promise<number>,
+  repeats = REPEATS,
+): Promise<number> {
+  const samples: number[] = [];
+  for (let i = 0; i < repeats; i++) samples.push(await measure());
+  return median(samples);
+}
+
+/** Collects garbage and reads the heap with its external memory. */
+export function heapBytes(): number {
+  if (!globalThis.gc) throw new Error('run with --expose-gc');
+  globalThis.gc();
+  globalThis.gc();
+  const {heapUsed, external} = process.memoryUsage();
+  return heapUsed + external;
+}
+
+/**
+ * Memory that a value holds.
+ *
+ * @param build - Builds the value.
+ * @returns Bytes, the median of several tries.
+ */
+export function heapOf(build: () => unknown): number {
+  const samples: number[] = [];
+  for (let i = 0; i < REPEATS; i++) {
+    kept.length = 0;
+    const before = heapBytes();
+    kept.push(build());
+    samples.push(heapBytes() - before);
+  }
+  return median(samples);
+}
+
+/** Holds the measured value, which nothing else refers to. */
+const kept: unknown[] = [];
--- /dev/null
+++ b/testing/bench/src/capacity/peer-cost.ts
@@ -0,0 +1,287 @@
+/** Costs of control links and relay connections on loopback. */
+import {Readable} from 'node:stream';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Heartbeat, PeerMessage} from '@wisteriarun/core';
+import {
+  PeerMesh,
+  RelayClient,
+  RelayServer,
+  type RelayRequest,
+  type RelayResult,
+} from '@wisteriarun/peer';
+import {SystemClock, encodeFrame} from '@wisteriarun/runtime';
+import {cpuOf, heapBytes, medianOf, type Measured} from './measure.js';
+import {HOLDER, SERVICE, ZONE, serverName} from './states.js';
+
+const HOST = '127.0.0.1';
+const PEERS = [2, 4, 8];
+const ROUNDS = 400;
+/** Broadcasts between two turns of the event loop. */
+const BURST = 4;
+const CONNECT_LIMIT_MS = 5_000;
+const RELAY_REQUESTS = 1_500;
+const RELAY_CONNECTIONS = [100, 200, 400];
+
+const vmName = (index: number) => `entry-00${index}.0a1b2c3d`;
+
+const heartbeat = (vm: string, seq: number): Heartbeat => ({
+  kind: 'heartbeat',
+  vm,
+  zone: ZONE,
+  seq,
+  offset: 1_234_567,
+  draining: false,
+  capacity: 1,
+});
+
+const table = (rows: number): PeerMessage => ({
+  kind: 'dispatch-table',
+  zone: ZONE,
+  term: 1_234_567,
+  version: 12,
+  rows: Array.from({length: rows}, (_, i) => ({
+    server: serverName(i),
+    dispatcher: HOLDER,
+    fence: {term: 1_234_567, seq: i},
+  })),
+});
+
+const loadReport = (shards: number): PeerMessage => ({
+  kind: 'load-report',
+  vm: HOLDER,
+  servers: [
+    {
+      server: serverName(1),
+      serviceTimeMs: 10.123,
+      busySlots: 1.987,
+      queued: 3,
+      shards: Array.from({length: shards}, (_, shard) => ({
+        service: SERVICE,
+        shard,
+        busySlots: 0.0123 + shard / 1e6,
+        hotKey: `filing-${shard}`,
+        hotKeyShare: 0.1234,
+      })),
+    },
+  ],
+});
+
+/** Measures messages, links and relay connections. */
+export async function measurePeers(): Promise<Measured[]> {
+  const rows = [8, 32, 128];
+  return [
+    {
+      name: 'heartbeat frame, per heartbeat',
+      unit: 'B',
+      points: [1, 2, 3].map(x => ({
+        x,
+        y: x * bytesOf(heartbeat(HOLDER, 9_999)),
+      })),
+    },
+    {
+      name: 'dispatch table frame, per server',
+      unit: 'B',
+      points: rows.map(x => ({x, y: bytesOf(table(x))})),
+    },
+    {
+      name: 'load report frame, per shard with load',
+      unit: 'B',
+      points: rows.map(x => ({x, y: bytesOf(loadReport(x))})),
+    },
+    {
+      name: 'heartbeat sent and received, per message (2, 4, 8 peers)',
+      unit: 'us',
+      points: await meshPoints(heartbeat),
+    },
+    {
+      name: 'dispatch table of 32 rows sent and received, per message',
+      unit: 'us',
+      points: await meshPoints(() => table(32)),
+    },
+    {
+      name: 'memory of an open relay connection, both ends',
+      unit: 'B',
+      points: await relayMemory(),
+    },
+    {
+      name: 'relayed request, both ends, per request',
+      unit: 'us',
+      points: await relayTime(),
+    },
+  ];
+}
+
+function bytesOf(message: PeerMessage): number {
+  return encodeFrame(message)
+    .map(frame => frame.length)
+    .unwrapOr(0);
+}
+
+/** Processor time against the number of messages that all links carry. */
+async function meshPoints(build: (vm: string, i: number) => PeerMessage) {
+  const points = [];
+  for (const count of PEERS) {
+    const meshes = await startMeshes(count);
+    let received = 0;
+    for (const mesh of meshes) {
+      void mesh.messages.observe(() => (received += 1));
+    }
+    const messages = ROUNDS * count * (count - 1);
+    const y = await medianOf(async () => {
+      received = 0;
+      return cpuOf(async () => {
+        for (let i = 0; i < ROUNDS; i++) {
+          meshes.forEach((mesh, n) => mesh.broadcast(build(vmName(n), i)));
+          if (i % BURST === 0) await sleep(0);
+        }
+        while (received < messages) await sleep(1);
+      });
+    });
+    points.push({x: messages, y});
+    await Promise.all(meshes.map(mesh => mesh.close()));
+  }
+  return points;
+}
+
+async function startMeshes(count: number): Promise<PeerMesh[]> {
+  const meshes: PeerMesh[] = [];
+  const ports: number[] = [];
+  for (let i = 0; i < count; i++) {
+    const vm = vmName(i);
+    const mesh = new PeerMesh({
+      deployment: 'capacity',
+      vm,
+      zone: ZONE,
+      bootId: `boot-${i}`,
+      capacity: 1,
+      relayHost: HOST,
+      relayPort: 1,
+      host: HOST,
+      port: 0,
+      secret: 'secret',
+      clock: new SystemClock(),
+      heartbeatIntervalMs: 60_000,
+      heartbeat: () => heartbeat(vm, 1),
+    });
+    ports.push((await mesh.listen()).unwrapOr(0));
+    meshes.push(mesh);
+  }
+  meshes.forEach(mesh =>
+    mesh.setPeers(ports.map(port => ({host: HOST, port}))),
+  );
+  const startMs = performance.now();
+  const isComplete = (mesh: PeerMesh) =>
+    mesh.peers().filter(peer => peer.connected).length === count - 1;
+  while (!meshes.every(isComplete)) {
+    if (performance.now() - startMs > CONNECT_LIMIT_MS) {
+      throw new Error(`mesh of ${count} is not complete`);
+    }
+    await sleep(10);
+  }
+  await sleep(200);
+  return meshes;
+}
+
+function relayRequest(i: number): RelayRequest {
+  return {
+    id: `request-${i}`,
+    method: 'GET',
+    path: `/${SERVICE}/filing-${i}`,
+    headers: {accept: 'application/json'},
+    service: SERVICE,
+    key: `filing-${i}`,
+    server: serverName(1),
+    shard: i,
+    epoch: 9,
+    fence: {term: 1, seq: 2},
+    idempotencyKey: null,
+    remainingMs: 60_000,
+    crashCount: 0,
+    lengthBytes: 0,
+    body: null,
+    signal: new AbortController().signal,
+  };
+}
+
+async function withRelay<T>(
+  dispatch: () => Promise<RelayResult>,
+  use: (send: (i: number) => Promise<RelayResult>) => Promise<T>,
+): Promise<T> {
+  const server = new RelayServer(
+    {host: HOST, port: 0, secret: 'secret'},
+    {dispatch},
+  );
+  const port = await server.listen();
+  const client = new RelayClient('secret');
+  try {
+    return await use(i => client.send({host: HOST, port}, relayRequest(i)));
+  } finally {
+    client.close();
+    await server.close();
+  }
+}
+
+const answer = (): RelayResult => ({
+  kind: 'answered',
+  status: 200,
+  headers: {'content-type': 'application/json'},
+  body: Readable.from([Buffer.alloc(256)]),
+});
+
+async function drain(result: RelayResult): Promise<void> {
+  if (result.kind !== 'answered') throw new Error(JSON.stringify(result));
+  result.body.resume();
+  await new Promise(resolve => result.body.once('end', resolve));
+}
+
+async function relayMemory() {
+  const points = [];
+  for (const x of RELAY_CONNECTIONS) {
+    const y = await medianOf(() => relayMemoryOf(x), 3);
+    points.push({x, y});
+  }
+  return points;
+}
+
+async function relayMemoryOf(connections: number): Promise<number> {
+  let release = () => {};
+  const held = new Promise<void>(resolve => (release = resolve));
+  let arrived = 0;
+  const dispatch = async () => {
+    arrived += 1;
+    await held;
+    return answer();
+  };
+  return withRelay(dispatch, async send => {
+    const before = heapBytes();
+    const results = Array.from({length: connections}, (_, i) => send(i));
+    while (arrived < connections) await sleep(5);
+    const bytes = heapBytes() - before;
+    release();
+    for (const result of await Promise.all(results)) await drain(result);
+    return bytes;
+  });
+}
+
+async function relayTime() {
+  const points = [];
+  for (const x of [1, 2, 3].map(n => (n * RELAY_REQUESTS) / 3)) {
+    const y = await withRelay(
+      async () => answer(),
+      async send => {
+        const run = async () => {
+          for (let i = 0; i < x; i += 10) {
+            const batch = Array.from({length: 10}, async (_, n) =>
+              drain(await send(i + n)),
+            );
+            await Promise.all(batch);
+          }
+        };
+        await run();
+        return medianOf(() => cpuOf(run));
+      },
+    );
+    points.push({x, y});
+  }
+  return points;
+}
--- /dev/null
+++ b/testing/bench/src/capacity/process.ts
@@ -0,0 +1,51 @@
+/** A stand-in in a process of its own, so that its time is not counted. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {fileURLToPath} from 'node:url';
+
+const READY_LIMIT_MS = 10_000;
+
+/** A running stand-in. */
+export class StandinProcess {
+  private constructor(
+    private readonly child: ChildProcess,
+    readonly host: string,
+    readonly port: number,
+  ) {}
+
+  /**
+   * Starts a stand-in.
+   *
+   * @param name - `backend-server` or `log-service`.
+   * @param args - Further arguments.
+   * @returns The process once it listens.
+   */
+  static async start(
+    name: string,
+    args: readonly string[] = [],
+  ): Promise<StandinProcess> {
+    const main = fileURLToPath(
+      new URL(`../../../standins/dist/${name}-main.js`, import.meta.url),
+    );
+    const child = spawn(process.execPath, [main, ...args], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    process.once('exit', () => child.kill('SIGKILL'));
+    const signal = AbortSignal.timeout(READY_LIMIT_MS);
+    let text = '';
+    for (;;) {
+      const [chunk] = (await once(child.stdout, 'data', {signal})) as [Buffer];
+      text += chunk.toString();
+      const match = /ready host=(\S+) port=(\d+)/.exec(text);
+      if (!match) continue;
+      return new StandinProcess(child, match[1]!, Number(match[2]));
+    }
+  }
+
+  /** Ends the process. */
+  async close(): Promise<void> {
+    const ended = once(this.child, 'exit');
+    this.child.kill('SIGKILL');
+    await ended;
+  }
+}
--- /dev/null
+++ b/testing/bench/src/capacity/state-cost.ts
@@ -0,0 +1,224 @@
+/** Costs of the folded state: records, images, rows and lookups. */
+import {
+  AttemptTable,
+  createHasher,
+  fold,
+  fromImage,
+  route,
+  toImage,
+  type RouterState,
+} from '@wisteriarun/core';
+import {encodeFrame} from '@wisteriarun/runtime';
+import {heapOf, timeOf, type Measured} from './measure.js';
+import {
+  SERVICE,
+  TRUST,
+  append,
+  assignRecord,
+  bundleRecord,
+  copyImage,
+  makeBundle,
+  ownedState,
+} from './states.js';
+
+const SHARDS = [1_024, 8_192, 32_768, 65_536];
+const SERVERS = 32;
+
+/** Measures fold, image, memory and lookup. */
+export async function measureState(): Promise<Measured[]> {
+  const states = SHARDS.map(shards => ({
+    x: shards,
+    state: ownedState(SERVERS, shards),
+  }));
+  const at = (of: (state: RouterState, shards: number) => number) =>
+    states.map(({x, state}) => ({x, y: of(state, x)}));
+  const hasher = await createHasher();
+  return [
+    {
+      name: 'fold of an assign record with 1 change, per shard of the service',
+      unit: 'us',
+      points: at(state => foldTime(state, assignRecord(state, 1, SERVERS))),
+    },
+    {
+      name: 'fold of an assign record, per change (1,024 shards)',
+      unit: 'us',
+      points: [1, 16, 64, 256].map(x => ({
+        x,
+        y: foldTime(states[0]!.state, assignRecord(states[0]!.state, x, 32)),
+      })),
+    },
+    {
+      name: 'bytes of an assign record, per change',
+      unit: 'B',
+      points: [1, 16, 64, 256].map(x => ({
+        x,
+        y: jsonBytes(assignRecord(states[0]!.state, x, 32)),
+      })),
+    },
+    {
+      name: 'restore of a snapshot, per row',
+      unit: 'us',
+      points: at(state => {
+        const image = copyImage(toImage(state));
+        return timeOf(() => fromImage(image, TRUST));
+      }),
+    },
+    {
+      name: 'parsing of a snapshot from JSON, per row',
+      unit: 'us',
+      points: at(state => {
+        const text = JSON.stringify(toImage(state));
+        return timeOf(() => JSON.parse(text));
+      }),
+    },
+    {
+      name: 'image as JSON (snapshot), per shard',
+      unit: 'B',
+      points: at(state => jsonBytes(toImage(state))),
+    },
+    {
+      name: 'image as a CBOR frame, per shard (0 above 1 MiB)',
+      unit: 'B',
+      points: [1_024, 4_096, 8_192].map(x => ({
+        x,
+        y: frameBytes({
+          kind: 'state-reply',
+          image: toImage(ownedState(SERVERS, x)),
+        }),
+      })),
+    },
+    {
+      name: 'table in memory, per shard',
+      unit: 'B',
+      points: states.map(({x, state}) => {
+        const image = JSON.stringify(toImage(state));
+        const build = () => fromImage(JSON.parse(image), TRUST);
+        return {x, y: heapOf(build)};
+      }),
+    },
+    {
+      name: 'table in memory, per isolated key',
+      unit: 'B',
+      points: [64, 128, 256].map(x => ({x, y: isolatedBytes(x)})),
+    },
+    {
+      name: 'route lookup, per shard of the service',
+      unit: 'us',
+      points: at(state => {
+        let i = 0;
+        const batchUs = timeOf(() => {
+          for (let n = 0; n < 100; n++) {
+            route(state, hasher, SERVICE, `filing-${i++ % 50_000}`);
+          }
+        });
+        return batchUs / 100;
+      }),
+    },
+    {
+      name: 'fold of a bundle, per server',
+      unit: 'us',
+      points: [32, 256, 2_048].map(x => {
+        const state = ownedState(x, 1_024);
+        const record = bundleRecord(makeBundle(x, 1_024, 2));
+        return {x, y: foldTime(state, record)};
+      }),
+    },
+    {
+      name: 'bytes of a bundle record, per server',
+      unit: 'B',
+      points: [32, 256, 2_048].map(x => ({
+        x,
+        y: jsonBytes(bundleRecord(makeBundle(x, 1_024))),
+      })),
+    },
+    {
+      name: 'attempt record in memory, answer of 256 bytes',
+      unit: 'B',
+      points: [2_000, 5_000, 15_000].map(x => ({
+        x,
+        y: heapOf(() => attempts(x, 256)),
+      })),
+    },
+    {
+      name: 'attempt record in a handover frame, answer of 256 bytes',
+      unit: 'B',
+      points: [250, 500, 1_000].map(x => ({x, y: handoverBytes(x, 256)})),
+    },
+    {
+      name: 'attempt record in a handover frame, no answer kept',
+      unit: 'B',
+      points: [1_000, 2_000, 4_000].map(x => ({x, y: handoverBytes(x, null)})),
+    },
+  ];
+}
+
+function foldTime(state: RouterState, record: unknown): number {
+  return timeOf(() => {
+    const result = fold(state, {offset: state.offset + 1, record}, TRUST);
+    if (result.verdict.kind !== 'accepted') {
+      throw new Error(JSON.stringify(result.verdict));
+    }
+  });
+}
+
+function jsonBytes(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
+
+function frameBytes(value: unknown): number {
+  return encodeFrame(value).match({Ok: frame => frame.length, Err: () => 0});
+}
+
+function isolatedBytes(keys: number): number {
+  const first = ownedState(SERVERS, 65_536);
+  let state = first;
+  for (let i = 0; i < keys; i++) {
+    state = append(state, {
+      kind: 'isolate',
+      id: `isolate-${i}`,
+      author: state.terms.get('zone-a')!.holder,
+      zone: 'zone-a',
+      term: 2,
+      baseOffset: state.offset,
+      service: SERVICE,
+      key: `hot-filing-${i}`,
+    });
+  }
+  const bare = JSON.stringify(toImage(first));
+  const image = JSON.stringify(toImage(state));
+  const bytes = (text: string) =>
+    heapOf(() => fromImage(JSON.parse(text), TRUST));
+  return bytes(image) - bytes(bare);
+}
+
+function attempts(count: number, bodyBytes: number | null): AttemptTable {
+  const table = new AttemptTable();
+  const nowMs = Date.now();
+  table.takeOver(SERVICE, 1, nowMs - 60_000);
+  for (let i = 0; i < count; i++) {
+    const id = {
+      service: SERVICE,
+      shard: 1,
+      key: `filing-${i}`,
+      idempotencyKey: `01890a5d-ac96-774b-bcce-${String(i).padStart(12, '0')}`,
+      createdWallMs: nowMs,
+    };
+    table.begin(id, nowMs);
+    if (bodyBytes === null) table.endUnknown(id);
+    else {
+      const body = new Uint8Array(bodyBytes);
+      const headers = {'content-type': 'application/json'};
+      table.endAnswered(id, {status: 201, headers, body});
+    }
+  }
+  return table;
+}
+
+function handoverBytes(count: number, bodyBytes: number | null): number {
+  const table = attempts(count, bodyBytes);
+  return frameBytes({
+    kind: 'handover',
+    service: SERVICE,
+    ...table.export(SERVICE, [1], Date.now()),
+  });
+}
--- /dev/null
+++ b/testing/bench/src/capacity/states.ts
@@ -0,0 +1,119 @@
+/** Folded states of any size. */
+import {
+  emptyState,
+  fold,
+  generateSigner,
+  signBundle,
+  type Bundle,
+  type LogRecord,
+  type RouterState,
+  type StateImage,
+} from '@wisteriarun/core';
+
+export const SERVICE = 'transcripts';
+export const ZONE = 'zone-a';
+export const HOLDER = 'entry-001.0a1b2c3d';
+
+const root = generateSigner('root').unwrapOrElse(fail);
+export const TRUST = [root.signer];
+
+/** Name of a server, as long as the names of today's servers. */
+export const serverName = (index: number) =>
+  `server-${String(index).padStart(4, '0')}`;
+
+/** A bundle with one service in one zone. */
+export function makeBundle(
+  servers: number,
+  shards: number,
+  version = 1,
+): Bundle {
+  return {
+    deployment: 'capacity',
+    version,
+    zones: [ZONE],
+    services: [
+      {id: SERVICE, shards, adoption: 'hold', maxBodyBytes: 1024 ** 3},
+    ],
+    batches: [{id: 'batch-1', state: 'serving'}],
+    servers: Array.from({length: servers}, (_, i) => ({
+      id: serverName(i),
+      service: SERVICE,
+      batch: 'batch-1',
+      zone: ZONE,
+      host: `10.0.${i >> 8}.${i & 255}`,
+      port: 8080,
+      slots: 4,
+      connections: 130,
+      checksGrants: true,
+    })),
+    stopped: [],
+    signers: [root.signer],
+  };
+}
+
+/** The record that publishes a bundle. */
+export function bundleRecord(bundle: Bundle): LogRecord {
+  return {
+    kind: 'bundle',
+    id: `bundle-${bundle.version}`,
+    author: 'operator',
+    baseVersion: bundle.version - 1,
+    signed: signBundle(
+      JSON.stringify(bundle),
+      'root',
+      root.privateKeyPem,
+    ).unwrapOrElse(fail),
+  };
+}
+
+/** An `assign` record with the first shards of the service. */
+export function assignRecord(
+  state: RouterState,
+  changes: number,
+  servers: number,
+): LogRecord {
+  return {
+    kind: 'assign',
+    id: '01890a5d-ac96-774b-bcce-b302099a8057',
+    author: HOLDER,
+    zone: ZONE,
+    term: 2,
+    baseOffset: state.offset,
+    changes: Array.from({length: changes}, (_, shard) => ({
+      service: SERVICE,
+      shard,
+      server: serverName((shard * 7 + state.offset) % servers),
+      reason: 'balance',
+    })),
+  };
+}
+
+/** Folds a record at the next offset. */
+export function append(state: RouterState, record: unknown): RouterState {
+  const result = fold(state, {offset: state.offset + 1, record}, TRUST);
+  if (result.verdict.kind === 'rejected') fail(result.verdict.error);
+  return result.state;
+}
+
+/** A state in which every shard has an owner. */
+export function ownedState(servers: number, shards: number): RouterState {
+  let state = append(emptyState(), bundleRecord(makeBundle(servers, shards)));
+  state = append(state, {
+    kind: 'term',
+    id: 'term',
+    author: HOLDER,
+    zone: ZONE,
+    authorZone: ZONE,
+    baseTerm: 0,
+  });
+  return append(state, assignRecord(state, shards, servers));
+}
+
+/** A copy of an image that shares nothing with the original. */
+export function copyImage(image: StateImage): unknown {
+  return JSON.parse(JSON.stringify(image)) as unknown;
+}
+
+function fail(error: unknown): never {
+  throw new Error(JSON.stringify(error));
+}
--- /dev/null
+++ b/testing/bench/test/capacity.test.ts
@@ -0,0 +1,98 @@
+import {describe, expect, it} from 'vitest';
+import {
+  BUDGET,
+  TARGET,
+  dailyRate,
+  divideNodes,
+  meshLimits,
+  meshLoad,
+  sizeAtLimit,
+} from '../src/capacity/model.js';
+import {fitLine, median, quantile} from '../src/capacity/stats.js';
+import {
+  Keys,
+  SERVICES,
+  capacityOf,
+  drawServers,
+} from '../src/ownership/workload.js';
+import {createRandom} from '../src/capacity/stats.js';
+
+describe('slopes', () => {
+  // Guards against slopes that swallow a fixed cost.
+  it('separates the slope from the fixed part', () => {
+    const line = fitLine([10, 20, 40].map(x => ({x, y: 7 + 3 * x})));
+    expect(line.slope).toBeCloseTo(3);
+    expect(line.intercept).toBeCloseTo(7);
+    expect(line.r2).toBeCloseTo(1);
+  });
+
+  // Guards against figures that hide that a line does not fit.
+  it('shows a bad fit', () => {
+    const points = [5, 1, 6, 2].map((y, x) => ({x, y}));
+    expect(fitLine(points).r2).toBeLessThan(0.2);
+  });
+
+  // Guards against quantiles that are off by one rank.
+  it('takes the nearest rank', () => {
+    const values = [5, 1, 4, 2, 3];
+    expect(median(values)).toBe(3);
+    expect(quantile(values, 0)).toBe(1);
+    expect(quantile(values, 0.95)).toBe(5);
+    expect(median([])).toBeNaN();
+  });
+});
+
+describe('estimate', () => {
+  // Guards against nodes that are lost or counted twice.
+  it('divides all nodes into entry VMs and servers', () => {
+    const {entries, servers, serversPerZone} = divideNodes(TARGET);
+    expect(entries + servers).toBe(TARGET.nodes);
+    expect(entries).toBe(675);
+    expect(serversPerZone).toBeCloseTo(184.1, 1);
+    const today = divideNodes({...TARGET, nodes: 48, zones: 3});
+    expect(today).toMatchObject({entries: 12, servers: 36});
+  });
+
+  // Guards against a mesh load that counts one direction or the own VM.
+  it('counts both directions and not the own VM', () => {
+    const cost = {bytes: 100, cpuUs: 10, perSecond: 4};
+    expect(meshLoad(1, cost).bytesPerSecond).toBe(0);
+    expect(meshLoad(3, cost)).toEqual({
+      messagesPerSecond: 16,
+      bytesPerSecond: 1_600,
+      cpuUs: 80,
+    });
+  });
+
+  // Guards against limits beyond the budget.
+  it('finds the largest mesh within the budget', () => {
+    const cost = {bytes: 95, cpuUs: 9, perSecond: 4};
+    const {byBytes, byCpu} = meshLimits(cost, BUDGET);
+    expect(meshLoad(byBytes, cost).bytesPerSecond).toBeLessThanOrEqual(15_000);
+    expect(meshLoad(byBytes + 1, cost).bytesPerSecond).toBeGreaterThan(15_000);
+    expect(meshLoad(byCpu, cost).cpuUs).toBeLessThanOrEqual(33_000);
+    expect(meshLoad(byCpu + 1, cost).cpuUs).toBeGreaterThan(33_000);
+  });
+
+  // Guards against errors of unit between days and seconds.
+  it('converts daily records and limits', () => {
+    expect(dailyRate(1_000, 86_400)).toBe(1_000);
+    expect(sizeAtLimit(1_048_576, 41.5, 5_000)).toBe(25_146);
+  });
+});
+
+describe('workload of the simulation', () => {
+  // Guards against comparisons under different loads.
+  it('keeps the total load when the hot set moves', () => {
+    const spec = SERVICES[0]!;
+    const random = createRandom(1);
+    const capacity = capacityOf(drawServers(spec, random));
+    const keys = new Keys(spec, capacity, random);
+    const total = () => keys.load.reduce((a, b) => a + b, 0);
+    const before = [...keys.load];
+    expect(total()).toBeCloseTo(capacity / 2);
+    keys.moveHotSet();
+    expect(total()).toBeCloseTo(capacity / 2);
+    expect([...keys.load]).not.toEqual(before);
+  });
+});
