Close connections that become idle during a graceful stop

Cause: Node closes idle connections once, when the server is closed. One whose answer had begun before stayed open for its keep-alive time of 60 s, and the process with it. Ruled out: a shorter keep-alive time, because callers and peers profit from open connections. Change: the server checks for idle connections until the last one is closed.

--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -15,6 +15,7 @@
   requestFailure,
   type RequestFailure,
 } from '@wisteriarun/core';
+import {closeGracefully} from '@wisteriarun/runtime';
 import {parseHead} from './parse.js';
 import type {CallerAnswer, CallerHandler} from './types.js';
 
@@ -100,7 +101,7 @@
   close(): Promise<void> {
     this.shuttingDown = true;
     this.closing = true;
-    return new Promise(resolve => this.server.close(() => resolve()));
+    return closeGracefully(this.server);
   }
 
   private async serve(req: IncomingMessage, res: ServerResponse) {
--- a/packages/peer/src/relay/server.ts
+++ b/packages/peer/src/relay/server.ts
@@ -16,6 +16,7 @@
   requestFailure,
   singleHeader,
 } from '@wisteriarun/core';
+import {closeGracefully} from '@wisteriarun/runtime';
 import type {RelayHandler, RelayRequest, RelayResult} from './types.js';
 import {SERVER_HEADER, SERVER_TIME_HEADER, parseFence} from './wire.js';
 
@@ -80,7 +81,7 @@
    */
   close(): Promise<void> {
     this.closing = true;
-    return new Promise(resolve => this.server.close(() => resolve()));
+    return closeGracefully(this.server);
   }
 
   private async serve(
--- /dev/null
+++ b/packages/runtime/src/http-close.ts
@@ -0,0 +1,26 @@
+/** Graceful end of HTTP servers. */
+import type {Server} from 'node:http';
+
+/** Interval at which connections that have become idle are closed. */
+const IDLE_CHECK_INTERVAL_MS = 50;
+
+/**
+ * Stops a server from accepting and waits for the requests in flight. Node
+ * closes idle connections only once; one whose answer began before the close
+ * would otherwise stay open until its keep-alive time ends.
+ *
+ * @param server - Listening server.
+ * @returns Resolves when the last connection is closed.
+ */
+export function closeGracefully(server: Server): Promise<void> {
+  const timer = setInterval(
+    () => server.closeIdleConnections(),
+    IDLE_CHECK_INTERVAL_MS,
+  );
+  return new Promise(resolve => {
+    server.close(() => {
+      clearInterval(timer);
+      resolve();
+    });
+  });
+}
