--- a/packages/core/src/core/request/attempts.ts
+++ b/packages/core/src/core/request/attempts.ts
@@ -12,6 +12,8 @@
 const MAX_RECORDS = 20_000;
 const MAX_BYTES = 32 * 1024 * 1024;
 const RECORD_OVERHEAD_BYTES = 512;
+/** Half of the largest frame of the control link. */
+const MAX_PART_BYTES = 512 * 1024;
 
 /** Identity of a non-repeatable request. */
 export interface AttemptId {
@@ -39,8 +41,16 @@
   | {
       readonly kind: 'unknown';
       readonly reason: 'attempt-unknown' | 'attempt-expired';
+      /** Whether a handover of earlier attempts may lead to another decision. */
+      readonly untracked?: boolean;
     };
 
+/** Records of some shards, all since the given time. */
+export interface AttemptExport {
+  readonly shards: {shard: number; knownSinceWallMs: number}[];
+  readonly attempts: AttemptRecord[];
+}
+
 type State = {readonly kind: 'running'} | AttemptRecord['state'];
 
 interface Entry {
@@ -138,7 +148,7 @@
     const since = this.knownSinceMs(id.service, id.shard);
     const safeFrom = (since ?? Infinity) + CALLER_SKEW_MS + VM_SKEW_MS;
     if (id.createdWallMs <= safeFrom) {
-      return {kind: 'unknown', reason: 'attempt-unknown'};
+      return {kind: 'unknown', reason: 'attempt-unknown', untracked: true};
     }
     this.put(name, {id, state: {kind: 'running'}, sizeBytes: 0});
     this.evict();
@@ -228,34 +238,39 @@
    * @param service - Service id.
    * @param shards - Shard numbers.
    * @param wallMs - Wall time.
-   * @returns Contents of a handover message.
+   * @param maxPartBytes - Bound of a part. Of a shard that exceeds it, answer
+   * bodies are left out, and then the oldest records.
+   * @returns Contents of handover messages, each with whole shards.
    */
   export(
     service: string,
     shards: readonly number[],
     wallMs: number,
-  ): {
-    shards: {shard: number; knownSinceWallMs: number}[];
-    attempts: AttemptRecord[];
-  } {
+    maxPartBytes: number = MAX_PART_BYTES,
+  ): AttemptExport[] {
     this.expire(wallMs);
-    const wanted = new Set(shards);
-    const attempts: AttemptRecord[] = [];
-    for (const {id, state} of this.entries.values()) {
-      if (id.service !== service || !wanted.has(id.shard)) continue;
-      attempts.push({
-        service,
-        key: id.key,
-        idempotencyKey: id.idempotencyKey,
-        state: state.kind === 'running' ? {kind: 'unknown'} : state,
-        ageMs: wallMs - id.createdWallMs,
-      });
+    const byShard = new Map<number, Entry[]>(shards.map(id => [id, []]));
+    for (const entry of this.entries.values()) {
+      if (entry.id.service !== service) continue;
+      byShard.get(entry.id.shard)?.push(entry);
     }
-    const known = shards.flatMap(shard => {
+    const parts: AttemptExport[] = [];
+    let roomBytes = 0;
+    for (const [shard, entries] of byShard) {
       const since = this.knownSinceMs(service, shard);
-      return since === null ? [] : [{shard, knownSinceWallMs: since}];
-    });
-    return {shards: known, attempts};
+      if (since === null) continue;
+      const fitted = fit(entries, since, wallMs, maxPartBytes);
+      const sizeBytes = sumBytes(fitted.attempts) + RECORD_OVERHEAD_BYTES;
+      if (parts.length === 0 || sizeBytes > roomBytes) {
+        parts.push({shards: [], attempts: []});
+        roomBytes = maxPartBytes;
+      }
+      roomBytes -= sizeBytes;
+      const part = parts[parts.length - 1]!;
+      part.shards.push({shard, knownSinceWallMs: fitted.knownSinceWallMs});
+      part.attempts.push(...fitted.attempts);
+    }
+    return parts;
   }
 
   /**
@@ -344,6 +359,57 @@
   return {kind: 'replay', answer: {status, headers, body}};
 }
 
+/** Records of one shard within a bound, and since when they are complete. */
+function fit(
+  entries: readonly Entry[],
+  knownSinceWallMs: number,
+  wallMs: number,
+  maxBytes: number,
+): {knownSinceWallMs: number; attempts: AttemptRecord[]} {
+  const newestFirst = [...entries].sort(
+    (a, b) => b.id.createdWallMs - a.id.createdWallMs,
+  );
+  let attempts = newestFirst.map(entry => toRecord(entry, wallMs));
+  if (sumBytes(attempts) <= maxBytes) return {knownSinceWallMs, attempts};
+  attempts = attempts.map(withoutBody);
+  let sizeBytes = 0;
+  const end = attempts.findIndex(record => {
+    sizeBytes += recordBytes(record);
+    return sizeBytes > maxBytes;
+  });
+  if (end < 0) return {knownSinceWallMs, attempts};
+  const omitted = newestFirst[end]!.id.createdWallMs;
+  return {
+    knownSinceWallMs: Math.max(knownSinceWallMs, omitted),
+    attempts: attempts.slice(0, end),
+  };
+}
+
+function toRecord({id, state}: Entry, wallMs: number): AttemptRecord {
+  const {service, key, idempotencyKey, createdWallMs} = id;
+  return {
+    service,
+    key,
+    idempotencyKey,
+    state: state.kind === 'running' ? {kind: 'unknown'} : state,
+    ageMs: wallMs - createdWallMs,
+  };
+}
+
+function withoutBody(record: AttemptRecord): AttemptRecord {
+  const {state} = record;
+  if (state.kind === 'unknown') return record;
+  return {...record, state: {...state, headers: {}, body: null}};
+}
+
+function sumBytes(records: readonly AttemptRecord[]): number {
+  return records.reduce((sum, record) => sum + recordBytes(record), 0);
+}
+
+function recordBytes({key, state}: AttemptRecord): number {
+  return RECORD_OVERHEAD_BYTES + Buffer.byteLength(key) + contentBytes(state);
+}
+
 function contentBytes(state: State): number {
   if (state.kind !== 'answered') return 0;
   const headers = JSON.stringify(state.headers).length;
--- a/packages/core/src/types/peer-messages.ts
+++ b/packages/core/src/types/peer-messages.ts
@@ -128,9 +128,23 @@
   /** Server that the sender dispatched for, and its fence. */
   server: z.string(),
   fence: fenceSchema,
+  /**
+   * Term of the order that ended the sender's dispatching, or null when a
+   * record moved the shards away.
+   */
+  term: offsetSchema.nullable(),
   service: z.string(),
-  /** Shards whose attempts since the given wall time are all in `attempts`. */
-  shards: z.array(z.object({shard: z.int(), knownSinceWallMs: z.number()})),
+  /**
+   * Shards whose attempts since the given wall time are all in `attempts`, with
+   * the epoch under which the sender dispatched for them.
+   */
+  shards: z.array(
+    z.object({
+      shard: z.int(),
+      epoch: offsetSchema,
+      knownSinceWallMs: z.number(),
+    }),
+  ),
   attempts: z.array(attemptRecordSchema),
 });
 
--- a/packages/core/test/request/attempts.test.ts
+++ b/packages/core/test/request/attempts.test.ts
@@ -61,7 +61,8 @@
       fc.property(
         fc.array(creation, {minLength: 8, maxLength: 8}),
         fc.array(commands, {minLength: 20, maxLength: 60}),
-        (created, steps) => {
+        fc.constantFrom(600, 1_200, 100_000),
+        (created, steps, partBytes) => {
           let nowMs = 1_000_000;
           let skewMs = 0;
           let table = new AttemptTable({maxRecords: 2});
@@ -94,11 +95,11 @@
             } else {
               const next = new AttemptTable({maxRecords: 2});
               if (step.kind === 'planned') {
-                const out = table.export('s', [0], nowMs + skewMs);
-                for (const {shard, knownSinceWallMs} of out.shards) {
+                const [out] = table.export('s', [0], nowMs + skewMs, partBytes);
+                for (const {shard, knownSinceWallMs} of out!.shards) {
                   next.takeOver('s', shard, knownSinceWallMs);
                 }
-                for (const record of out.attempts) {
+                for (const record of out!.attempts) {
                   const id = ids.find(
                     i => i.idempotencyKey === record.idempotencyKey,
                   )!;
@@ -175,6 +176,32 @@
     }
   });
 
+  it('hands over more records than one message holds in several', () => {
+    const table = new AttemptTable();
+    for (const shard of [0, 1]) {
+      table.takeOver('s', shard, 0);
+      for (let i = 0; i < 40; i++) {
+        const id = {...idOf(`${shard}-${i}`, 100_000 + i), shard};
+        table.begin(id, 100_000);
+        const body = new Uint8Array(MAX_REPLAY_BYTES);
+        table.endAnswered(id, {status: 200, headers: {}, body});
+      }
+    }
+    const parts = (maxBytes: number) =>
+      table
+        .export('s', [0, 1], 100_000, maxBytes)
+        .map(({shards, attempts}) => [
+          shards[0]?.knownSinceWallMs,
+          attempts.length,
+          attempts.some(({state}) => state.kind !== 'unknown' && state.body),
+        ]);
+    const whole = [0, 40, true];
+    expect(parts(40 * 17_000)).toEqual([whole, whole]);
+    const bodiless = [0, 40, false];
+    expect(parts(40 * 600)).toEqual([bodiless, bodiless]);
+    expect(parts(10 * 520)).toEqual(Array(2).fill([100_029, 10, false]));
+  });
+
   it('hands over and protects the records of a key that was isolated', () => {
     const table = new AttemptTable({maxRecords: 1});
     table.takeOver('s', 0, 0);
@@ -182,7 +209,7 @@
     table.begin(id, 100_000);
     table.endUnknown(id);
     table.isolate('s', 'k', 0, 9);
-    expect(table.export('s', [9], 100_000).attempts).toHaveLength(1);
+    expect(table.export('s', [9], 100_000)[0]?.attempts).toHaveLength(1);
     const other = {...idOf('b', 200_000), key: 'other'};
     expect(table.begin(other, 200_000).kind).toBe('run');
     expect(table.size).toBe(1);
--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -2,6 +2,7 @@
 import type {DispatchTable, PeerMessage} from '@wisteriarun/core';
 import type {Clock} from '@wisteriarun/runtime';
 import type {DispatcherHost} from '../request/dispatcher-host.js';
+import type {OutgoingHandover, ShardMove} from '../request/shard-custody.js';
 import type {AssignerRunner} from './assigner-runner.js';
 import type {DispatchDirectory} from './dispatch-directory.js';
 import type {PermissionTable} from './permissions.js';
@@ -11,6 +12,11 @@
 
 type MessageOf<K extends PeerMessage['kind']> = Extract<PeerMessage, {kind: K}>;
 
+/** Longest time for which a handover waits for its receiver to be known. */
+const HANDOVER_KEEP_MS = 10_000;
+/** Largest number of handovers that wait for their receivers. */
+const MAX_HANDOVERS = 64;
+
 /** Parts that the messages act on. */
 export interface PeerDutiesOptions {
   readonly vm: string;
@@ -31,6 +37,10 @@
   /** Servers that this VM dispatches for according to the tables. */
   private dispatched = new Set<string>();
   private readonly orders = new ZoneOrders();
+  /** Next dispatcher of each server that is being stopped. */
+  private readonly successors = new Map<string, string>();
+  /** Handovers to dispatchers that no table names yet. */
+  private outbox: (OutgoingHandover & {readonly sinceMs: number})[] = [];
 
   /**
    * @param options - Parts to act on.
@@ -74,6 +84,19 @@
     if (records.length > 0) this.send(vm, {kind: 'crash-record', records});
   }
 
+  /**
+   * Applies a change of routes to the dispatcher role and hands over the
+   * attempt records of shards that have left.
+   *
+   * @param moves - Changes of owners by the folded record, if any.
+   */
+  onRoutesChanged(moves: readonly ShardMove[]): void {
+    const sinceMs = this.options.clock.monotonicMs();
+    const outgoing = this.options.dispatcher.onRoutesChanged(moves);
+    this.outbox.push(...outgoing.map(item => ({...item, sinceMs})));
+    this.sendHandovers();
+  }
+
   /** Takes back what assigners of ended terms ordered. */
   onStateChanged(): void {
     const {dispatcher} = this.options;
@@ -150,13 +173,14 @@
       if (row.dispatcher !== vm) continue;
       if (this.orders.isStopped(row.server, row.fence, row.term)) continue;
       own.add(row.server);
-      dispatcher.setDispatch(row.server, row.fence);
+      dispatcher.setDispatch(row.server, row.fence, row.replaces);
     }
     for (const server of this.dispatched) {
       if (!own.has(server)) dispatcher.setDispatch(server, null);
     }
     this.dispatched = own;
     routes.onChanged();
+    this.sendHandovers();
   }
 
   private async stopDispatch(
@@ -164,10 +188,14 @@
     {server, next, term}: MessageOf<'dispatch-stop'>,
   ): Promise<void> {
     if (term < this.currentTermOf(server)) return;
+    // A stop that is sent again may name another receiver.
+    this.successors.set(server, next);
     const row = this.options.directory.lookup(server);
     if (row) this.orders.noteStop(server, row.fence, term);
-    const handovers = await this.options.dispatcher.stop(server);
-    for (const handover of handovers) this.send(next, handover);
+    const handovers = await this.options.dispatcher.stop(server, term);
+    const successor = this.successors.get(server) ?? next;
+    for (const handover of handovers) this.send(successor, handover);
+    this.successors.delete(server);
     this.send(from, {kind: 'dispatch-stopped', server, term});
   }
 
@@ -175,24 +203,28 @@
     from: string,
     message: MessageOf<'shard-drain'>,
   ): Promise<void> {
-    const {server, service, shards, next, term, drain} = message;
+    const {server, service, shards, term, drain} = message;
     if (term < this.currentTermOf(server)) return;
     for (const shard of shards) {
       this.orders.noteDrain({server, service, shard, term}, drain);
     }
     await this.options.dispatcher.setDrain(server, service, shards, drain);
     if (!drain) return;
-    const fence = this.options.directory.lookup(server)?.fence;
-    if (fence && next !== null && next !== this.options.vm) {
-      const {dispatcher} = this.options;
-      this.send(
-        next,
-        dispatcher.exportAttempts(server, fence, service, shards),
-      );
-    }
     this.send(from, {kind: 'shard-drained', term, server, service, shards});
   }
 
+  private sendHandovers(): void {
+    const {clock, directory, vm} = this.options;
+    const keptFromMs = clock.monotonicMs() - HANDOVER_KEEP_MS;
+    const waiting = this.outbox.slice(-MAX_HANDOVERS);
+    this.outbox = waiting.filter(({to, handover, sinceMs}) => {
+      const receiver = directory.lookup(to)?.dispatcher;
+      if (receiver === undefined) return sinceMs >= keptFromMs;
+      if (receiver !== vm) this.send(receiver, handover);
+      return false;
+    });
+  }
+
   /** Term of a server's zone in the folded state; 0 when there is none. */
   private currentTermOf(server: string): number {
     const {routes, replica} = this.options;
--- /dev/null
+++ b/packages/daemon/src/control/shard-moves.ts
@@ -0,0 +1,27 @@
+/** Changes of owners that the dispatcher role has to know. */
+import type {RouterState} from '@wisteriarun/core';
+import type {ShardMove} from '../request/shard-custody.js';
+import type {FoldedRecord} from './state-replica.js';
+
+/**
+ * Reads the changes of owners from a folded record.
+ *
+ * @param folded - Folded record, or null after a state from a peer.
+ * @param before - State before the record.
+ * @returns Shards that an accepted assign record took from an owner.
+ */
+export function movesOf(
+  folded: FoldedRecord | null,
+  before: RouterState,
+): ShardMove[] {
+  if (folded?.verdict.kind !== 'accepted') return [];
+  const {record} = folded.verdict;
+  if (record.kind !== 'assign') return [];
+  return record.changes.flatMap(({service, shard, server, formerFence}) => {
+    const row = before.services.get(service)?.rows[shard];
+    if (!row || row.server === null) return [];
+    const {server: former, epoch} = row;
+    const from = {server: former, epoch, fence: formerFence};
+    return [{service, shard, from, to: server}];
+  });
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -33,6 +33,7 @@
 import {PermissionTable} from './control/permissions.js';
 import {RouteTable} from './control/route-table.js';
 import {ServerClients} from './control/server-clients.js';
+import {movesOf} from './control/shard-moves.js';
 import {SnapshotWriter} from './control/snapshot-writer.js';
 import {StateReplica, type FoldedRecord} from './control/state-replica.js';
 import {OperatorView} from './operator-view.js';
@@ -126,6 +127,7 @@
       clock,
       permissions: this.permissions,
       events: event => this.emit(event),
+      logConfirmedAtMs: () => this.log.confirmedAtMs,
     });
     this.runner = this.createRunner();
     this.duties = this.createDuties();
@@ -236,7 +238,7 @@
       followIsolation(this.dispatcher, this.hasher, folded, before, state);
     }
     this.routes.onChanged();
-    this.dispatcher.onRoutesChanged();
+    this.duties.onRoutesChanged(movesOf(folded, before));
     this.runner.onFolded(state, folded);
     this.duties.onStateChanged();
     if (before.bundle !== state.bundle) this.onBundle(state);
--- a/packages/daemon/src/request/dispatcher-host.ts
+++ b/packages/daemon/src/request/dispatcher-host.ts
@@ -4,16 +4,22 @@
   AttemptTable,
   CrashGuard,
   requestFailure,
-  uuidV7TimeMs,
   type CrashRecord,
   type Fence,
-  type PeerMessage,
   type Reason,
   type Server,
   type ServerLoad,
 } from '@wisteriarun/core';
 import type {RelayHandler, RelayRequest, RelayResult} from '@wisteriarun/peer';
 import {ServerDispatcher} from './server-dispatcher.js';
+import {
+  ShardCustody,
+  isSameFence,
+  type Appointment,
+  type Handover,
+  type OutgoingHandover,
+  type ShardMove,
+} from './shard-custody.js';
 import type {
   Clock,
   CrashListener,
@@ -22,38 +28,28 @@
   RouteSource,
 } from './types.js';
 
-/**
- * Time for which a handover waits for its takeover. A former dispatcher that
- * resumed after this time has run requests that the handover does not list.
- */
-const HANDOVER_VALID_MS = 5_000;
-
-/** Message that hands attempt records over. */
-export type Handover = Extract<PeerMessage, {kind: 'handover'}>;
-
 /** Parts that the dispatcher role uses. */
 export interface DispatcherHostOptions {
   readonly routes: RouteSource;
   readonly clock: Clock;
   readonly permissions: PermissionCheck;
   readonly events: EventSink;
+  /**
+   * Monotonic time at which the latest read of the log started that found no
+   * record beyond the folded state.
+   */
+  readonly logConfirmedAtMs: () => number;
   /** Creates the client of a server; replaced in tests. */
   readonly createClient?: (server: Server) => BackendClient;
 }
 
-interface PendingHandover {
-  readonly knownSinceWallMs: number;
-  readonly receivedMs: number;
-}
-
 /** All servers that this VM dispatches for. */
 export class DispatcherHost implements RelayHandler {
   private readonly servers = new Map<string, ServerDispatcher>();
   private readonly attempts = new AttemptTable();
   private readonly crashes = new CrashGuard();
-  /** Shards whose dispatcher this VM is, as `service/shard`. */
-  private held = new Map<string, {service: string; shard: number}>();
-  private readonly pending = new Map<string, PendingHandover>();
+  private readonly custody: ShardCustody;
+  private readonly appointments = new Map<string, Appointment>();
   /** Servers whose requests in flight finish before a handover. */
   private readonly stopping = new Set<string>();
   private readonly listeners = new Set<CrashListener>();
@@ -61,7 +57,9 @@
   /**
    * @param options - Parts to use.
    */
-  constructor(private readonly options: DispatcherHostOptions) {}
+  constructor(private readonly options: DispatcherHostOptions) {
+    this.custody = new ShardCustody({...options, attempts: this.attempts});
+  }
 
   /**
    * Makes this VM the dispatcher of a server, or ends that. Requests that wait
@@ -84,12 +82,15 @@
     const dispatcher = this.servers.get(server);
     if (!dispatcher) return;
     const former = dispatcher.currentFence;
-    // Another VM may have taken over since the stop began.
-    if (this.stopping.delete(server)) this.releaseShardsOf(server);
-    if (former && fence && !isSame(former, fence)) {
-      const continuous = replaces !== null && isSame(former, replaces);
-      if (!continuous) this.releaseShardsOf(server);
+    if (this.stopping.has(server)) {
+      // Tables of other changes arrive while the last requests finish.
+      if (!fence) return;
+      // Another VM may have taken over since the stop began.
+      this.stopping.delete(server);
+      this.custody.release(server);
     }
+    if (fence) this.appoint(server, former, fence, replaces);
+    else this.appointments.delete(server);
     dispatcher.setFence(fence);
     this.onRoutesChanged();
   }
@@ -97,28 +98,18 @@
   /**
    * Applies a change of the folded state. Must be called after each folded
    * record, so that a shard that was elsewhere in between is noticed.
+   *
+   * @param moves - Changes of owners by the folded record, if any.
+   * @returns Attempt records for the dispatchers of the shards' new owners.
    */
-  onRoutesChanged(): void {
-    const {routes, clock} = this.options;
-    const held = new Map<string, {service: string; shard: number}>();
-    for (const [id, dispatcher] of this.servers) {
-      if (!dispatcher.currentFence && !this.stopping.has(id)) continue;
-      const server = routes.server(id);
-      if (server) dispatcher.update(server, this.createClient);
-      for (const {service, shard} of routes.shardsOf(id)) {
-        held.set(`${service}/${shard}`, {service, shard});
-      }
-    }
-    for (const [id, {service, shard}] of this.held) {
-      if (!held.has(id)) this.attempts.release(service, shard);
+  onRoutesChanged(moves: readonly ShardMove[] = []): OutgoingHandover[] {
+    for (const id of this.appointments.keys()) {
+      const server = this.options.routes.server(id);
+      if (server) this.servers.get(id)?.update(server, this.createClient);
     }
-    for (const [id, {service, shard}] of held) {
-      if (this.attempts.knownSinceMs(service, shard) !== null) continue;
-      const since = this.takePending(id) ?? clock.wallMs();
-      this.attempts.takeOver(service, shard, since);
-    }
-    this.held = held;
+    const outgoing = this.custody.update(this.appointments, moves);
     for (const dispatcher of this.servers.values()) dispatcher.recheckRoutes();
+    return outgoing;
   }
 
   /**
@@ -147,99 +138,37 @@
    * Ends dispatching for a server and closes its connections.
    *
    * @param server - Server id.
+   * @param term - Term of the order to stop.
    * @returns Resolves when nothing is in flight, with the attempt records for
    * the next dispatcher; they are empty when dispatching was given back
    * meanwhile.
    */
-  async stop(server: string): Promise<Handover[]> {
+  async stop(server: string, term: number): Promise<Handover[]> {
     const dispatcher = this.servers.get(server);
     if (!dispatcher) return [];
+    const fence = this.appointments.get(server)?.fence;
     this.stopping.add(server);
-    const fence = dispatcher.currentFence;
     dispatcher.setFence(null);
     await dispatcher.whenIdle();
     if (!this.stopping.delete(server)) return [];
-    const shards = new Map<string, number[]>();
-    for (const {service, shard} of this.options.routes.shardsOf(server)) {
-      const list = shards.get(service);
-      if (list) list.push(shard);
-      else shards.set(service, [shard]);
-    }
     const handovers = fence
-      ? [...shards].map(([service, list]) =>
-          this.exportAttempts(server, fence, service, list),
-        )
+      ? this.custody.exportStopped(server, fence, term)
       : [];
     this.servers.delete(server);
+    this.appointments.delete(server);
     this.onRoutesChanged();
     await dispatcher.close();
     return handovers;
   }
 
   /**
-   * Attempt records for the next dispatcher. This VM then no longer counts as
-   * the dispatcher of the shards: if it resumes, it takes them over anew.
-   *
-   * @param server - Server that this VM dispatched for.
-   * @param fence - Its fence.
-   * @param service - Service id.
-   * @param shards - Shard numbers.
-   * @returns Handover message.
-   */
-  exportAttempts(
-    server: string,
-    fence: Fence,
-    service: string,
-    shards: readonly number[],
-  ): Handover {
-    const wallMs = this.options.clock.wallMs();
-    const exported = this.attempts.export(service, shards, wallMs);
-    for (const shard of shards) this.attempts.release(service, shard);
-    return {kind: 'handover', server, fence, service, ...exported};
-  }
-
-  /**
-   * Takes attempt records of a former dispatcher over. Call it before the
-   * shards' takeover, or right after it.
+   * Takes attempt records over if they come from the dispatcher that held the
+   * shards just before this one; others are dropped with an event.
    *
    * @param handover - The message.
    */
   importAttempts(handover: Handover): void {
-    const {service} = handover;
-    const {routes, clock} = this.options;
-    for (const record of handover.attempts) {
-      const createdWallMs = uuidV7TimeMs(record.idempotencyKey);
-      const shard = routes.route(service, record.key)?.shard;
-      if (createdWallMs === null || shard === undefined) continue;
-      const {key, idempotencyKey} = record;
-      const id = {service, shard, key, idempotencyKey, createdWallMs};
-      const {state} = record;
-      this.attempts.import(
-        id,
-        state.kind === 'unknown'
-          ? state
-          : {...state, body: state.body && new Uint8Array(state.body)},
-      );
-    }
-    for (const {shard, knownSinceWallMs} of handover.shards) {
-      const own = this.attempts.knownSinceMs(service, shard);
-      if (own === null) {
-        const receivedMs = clock.monotonicMs();
-        this.pending.set(`${service}/${shard}`, {knownSinceWallMs, receivedMs});
-      } else if (knownSinceWallMs < own) {
-        this.attempts.takeOver(service, shard, knownSinceWallMs);
-      }
-    }
-  }
-
-  /**
-   * Drops a handover whose planned change was taken back.
-   *
-   * @param service - Service id.
-   * @param shards - Shard numbers.
-   */
-  discardHandover(service: string, shards: readonly number[]): void {
-    for (const shard of shards) this.pending.delete(`${service}/${shard}`);
+    this.custody.receive(handover, this.appointments);
   }
 
   /**
@@ -253,6 +182,7 @@
    */
   onIsolated(service: string, key: string, from: number, to: number): void {
     this.attempts.isolate(service, key, from, to);
+    this.custody.carry(service, from, to);
   }
 
   /**
@@ -265,6 +195,7 @@
    */
   onMerged(service: string, from: number, into: number): void {
     this.attempts.merge(service, from, into);
+    this.custody.carry(service, from, into);
   }
 
   /**
@@ -339,13 +270,20 @@
    * @returns Resolves when nothing is in flight and all connections are closed.
    */
   async close(): Promise<void> {
-    await Promise.all([...this.servers.keys()].map(id => this.stop(id)));
+    await Promise.all([...this.servers.keys()].map(id => this.stop(id, 0)));
   }
 
-  private releaseShardsOf(server: string): void {
-    for (const {service, shard} of this.options.routes.shardsOf(server)) {
-      this.attempts.release(service, shard);
-    }
+  private appoint(
+    server: string,
+    former: Fence | null,
+    fence: Fence,
+    replaces: Fence | null,
+  ): void {
+    const known = this.appointments.get(server);
+    if (known && isSameFence(former, fence)) return;
+    if (!isSameFence(former, replaces)) this.custody.release(server);
+    const sinceMs = this.options.clock.monotonicMs();
+    this.appointments.set(server, {fence, replaces, sinceMs});
   }
 
   private open(id: string): void {
@@ -360,6 +298,7 @@
       events,
       attempts: this.attempts,
       crashes: this.crashes,
+      custody: this.custody,
       onCrash: records => {
         for (const listener of this.listeners) listener(records);
       },
@@ -369,18 +308,6 @@
 
   private readonly createClient = (server: Server): BackendClient =>
     this.options.createClient?.(server) ?? new BackendClient(server);
-
-  private takePending(id: string): number | null {
-    const pending = this.pending.get(id);
-    this.pending.delete(id);
-    if (!pending) return null;
-    const ageMs = this.options.clock.monotonicMs() - pending.receivedMs;
-    return ageMs <= HANDOVER_VALID_MS ? pending.knownSinceWallMs : null;
-  }
-}
-
-function isSame(a: Fence, b: Fence): boolean {
-  return a.term === b.term && a.seq === b.seq;
 }
 
 function failed(reason: Reason): RelayResult {
--- a/packages/daemon/src/request/index.ts
+++ b/packages/daemon/src/request/index.ts
@@ -1,8 +1,5 @@
 /** Request path of the daemon: entry and dispatcher roles. */
-export {
-  DispatcherHost,
-  type DispatcherHostOptions,
-  type Handover,
-} from './dispatcher-host.js';
+export {DispatcherHost, type DispatcherHostOptions} from './dispatcher-host.js';
 export {EntryHandler, type EntryHandlerOptions} from './entry-handler.js';
+export type {Handover, OutgoingHandover, ShardMove} from './shard-custody.js';
 export type * from './types.js';
--- a/packages/daemon/src/request/server-dispatcher.ts
+++ b/packages/daemon/src/request/server-dispatcher.ts
@@ -24,17 +24,21 @@
 import type {RelayRequest, RelayResult} from '@wisteriarun/peer';
 import {Readable} from 'node:stream';
 import {tapAnswer} from './answer-tap.js';
+import type {ShardCustody} from './shard-custody.js';
 import type {Clock, EventSink, PermissionCheck, RouteSource} from './types.js';
 
 /** Memory of a waiting request besides its body. */
 const REQUEST_OVERHEAD_BYTES = 2_048;
 const BATCH_LEFT_RETRY_MS = 1_000;
+/** Longest wait of a request for the handover of its shard. */
+const HANDOVER_WAIT_MS = 250;
 
 /** Parts that one server's dispatcher shares with the others of the VM. */
 export interface DispatcherParts {
   readonly routes: RouteSource;
   readonly clock: Clock;
   readonly attempts: AttemptTable;
+  readonly custody: Pick<ShardCustody, 'whenReceived'>;
   readonly crashes: CrashGuard;
   readonly permissions: PermissionCheck;
   readonly events: EventSink;
@@ -239,11 +243,17 @@
     deadlineMs: number,
   ): Promise<RelayResult | null> {
     const {attempts, clock} = this.parts;
+    let mayWait = true;
     for (;;) {
       const decision = attempts.begin(attempt, clock.wallMs());
       if (decision.kind === 'run') return null;
       if (decision.kind === 'replay') return replayed(decision.answer);
-      if (decision.kind === 'unknown') return failedWith(decision.reason);
+      if (decision.kind === 'unknown') {
+        const again = mayWait && decision.untracked;
+        mayWait = false;
+        if (again && (await this.handover(request, deadlineMs))) continue;
+        return failedWith(decision.reason);
+      }
       // The first attempt may have run, so neither end of the wait is a proof.
       if (request.signal.aborted) return failedWith('attempt-unknown');
       if (this.now() >= deadlineMs) return failedWith('answer-timeout');
@@ -251,6 +261,16 @@
     }
   }
 
+  /** Waits for records that the shard's former dispatcher hands over. */
+  private handover(
+    {service, shard, signal}: RelayRequest,
+    deadlineMs: number,
+  ): Promise<boolean> {
+    const waitMs = Math.min(HANDOVER_WAIT_MS, deadlineMs - this.now());
+    const {custody} = this.parts;
+    return custody.whenReceived(service, shard, waitMs, signal);
+  }
+
   private attemptEnd(
     attempt: AttemptId,
     signal: AbortSignal,
--- /dev/null
+++ b/packages/daemon/test/handover-harness.ts
@@ -0,0 +1,305 @@
+/** Entry VMs that dispatch for two fenced servers, with a lossy control link. */
+import {
+  type DispatchRow,
+  type Fence,
+  type PeerMessage,
+  type Server,
+  type ShardChange,
+} from '@wisteriarun/core';
+import {
+  DispatcherHost,
+  type OwnedShard,
+  type RouteSource,
+} from '@wisteriarun/daemon';
+import type {RelayResult} from '@wisteriarun/peer';
+import {Readable} from 'node:stream';
+import {DispatchDirectory} from '../src/control/dispatch-directory.js';
+import {PeerDuties} from '../src/control/peer-duties.js';
+import {movesOf} from '../src/control/shard-moves.js';
+import {uuidV7} from './request-harness.js';
+
+const SHARDS = [0, 1];
+type Row = {server: string; zone: string; epoch: number};
+type Change = Pick<ShardChange, 'shard' | 'formerFence'> & {server: string};
+
+/** What the log and the servers hold in truth. */
+export class World {
+  readonly log: Change[] = [];
+  readonly vms = new Map<string, Vm>();
+  readonly fences = new Map<string, Fence>();
+  readonly runs = new Map<string, number>();
+  /** Requests that a server holds back, by id. */
+  readonly stalled = new Map<string, () => void>();
+  term = 1;
+  wallMs = 1_000_000_000_000;
+  private rows = new Map<string, DispatchRow>();
+  private seq = 0;
+  private version = 0;
+
+  constructor(names: readonly string[]) {
+    for (const name of names) this.vms.set(name, new Vm(this, name));
+  }
+
+  /** Owner and epoch of a shard after a number of records. */
+  row(shard: number, length = this.log.length): Row {
+    for (let epoch = length; epoch > 0; epoch--) {
+      const change = this.log[epoch - 1]!;
+      if (change.shard === shard) {
+        return {server: change.server, zone: 'z', epoch};
+      }
+    }
+    return {server: 'x', zone: 'z', epoch: 0};
+  }
+
+  vm(name: string): Vm {
+    return this.vms.get(name)!;
+  }
+
+  holderOf(server: string): string {
+    return this.rows.get(server)!.dispatcher;
+  }
+
+  /** Gives a server a new fence; its holder before need not know. */
+  appoint(server: string, dispatcher: string, stated = true): void {
+    const former = this.fences.get(server) ?? null;
+    const fence = {term: this.term, seq: ++this.seq};
+    const replaces = stated ? former : null;
+    this.fences.set(server, fence);
+    this.rows.set(server, {server, dispatcher, fence, replaces});
+    this.publish();
+  }
+
+  /** A new assigner keeps the dispatchers that the servers report. */
+  startTerm(): void {
+    this.term += 1;
+    for (const [server, row] of this.rows) {
+      this.rows.set(server, {...row, replaces: null});
+    }
+    this.publish();
+  }
+
+  /** Orders a planned change; it ends when the holder has stopped. */
+  stop(server: string, next: string): void {
+    const {term} = this;
+    const message = {kind: 'dispatch-stop', zone: 'z', term, server, next};
+    this.vm(this.holderOf(server)).inbox.push(message as PeerMessage);
+  }
+
+  onStopped(from: string, server: string, term: number, next: string): void {
+    if (term !== this.term || this.holderOf(server) !== from) return;
+    this.appoint(server, next);
+  }
+
+  move(shard: number, server: string, stated = true): void {
+    const former = this.fences.get(this.row(shard).server) ?? null;
+    const formerFence = stated ? former : null;
+    this.log.push({shard, server, formerFence});
+  }
+
+  /** Whether the server would run a request, as one that checks grants. */
+  admits(server: string, shard: number, epoch: number, fence: Fence): boolean {
+    const held = this.fences.get(server);
+    const row = this.row(shard);
+    return (
+      held?.term === fence.term &&
+      held.seq === fence.seq &&
+      row.server === server &&
+      row.epoch === epoch
+    );
+  }
+
+  private publish(): void {
+    const table: PeerMessage = {
+      kind: 'dispatch-table',
+      zone: 'z',
+      term: this.term,
+      version: ++this.version,
+      rows: [...this.rows.values()],
+    };
+    for (const vm of this.vms.values()) vm.inbox.push(table);
+  }
+}
+
+/** One entry VM; it acts only when its inbox or the log is read for it. */
+export class Vm {
+  inbox: PeerMessage[] = [];
+  readonly events: string[] = [];
+  readonly host: DispatcherHost;
+  readonly duties: PeerDuties;
+  readonly directory = new DispatchDirectory();
+  private offset = 0;
+  private term = 0;
+  private confirmedAtMs = -Infinity;
+  private nextOf = new Map<string, string>();
+
+  constructor(
+    private readonly world: World,
+    readonly name: string,
+  ) {
+    const clock = {
+      monotonicMs: () => performance.now(),
+      wallMs: () => world.wallMs,
+    };
+    this.host = new DispatcherHost({
+      routes: this.routes,
+      clock,
+      permissions: {check: () => null},
+      events: ({kind, cause}) => this.events.push(`${kind} ${cause}`),
+      logConfirmedAtMs: () => this.confirmedAtMs,
+      createClient: server => this.clientOf(server) as never,
+    });
+    const assigner = {
+      onDispatchStopped: (message: {server: string; term: number}) =>
+        this.stopped(message.server, message.term),
+    };
+    this.duties = new PeerDuties({
+      vm: name,
+      clock,
+      replica: {
+        get state() {
+          return {terms: new Map([['z', {term: world.term}]])};
+        },
+      },
+      directory: this.directory,
+      routes: {...this.routes, onChanged: () => {}},
+      dispatcher: this.host,
+      permissions: null,
+      runner: {assigners: () => [assigner]},
+      sendRemote: (vm: string, message: PeerMessage) => {
+        if (vm === 'assigner') {
+          const {server, term} = message as never;
+          this.stopped(server, term);
+        } else world.vms.get(vm)?.inbox.push(message);
+      },
+      broadcast: () => {},
+    } as never);
+  }
+
+  /** Reads the oldest message. */
+  async deliver(): Promise<void> {
+    const message = this.inbox.shift();
+    if (!message) return;
+    if (message.kind === 'dispatch-stop') {
+      this.nextOf.set(message.server, message.next);
+    }
+    this.duties.handle('assigner', message);
+    // A stop answers after the requests in flight.
+    for (let i = 0; i < 8; i++) await Promise.resolve();
+  }
+
+  /** Folds at most some records. */
+  read(limit = Infinity): void {
+    const startMs = performance.now();
+    for (let i = 0; i < limit && this.offset < this.world.log.length; i++) {
+      const before = this.state();
+      const change = this.world.log[this.offset]!;
+      this.offset += 1;
+      const changes = [{service: 's', reason: 'balance', ...change}];
+      const record = {kind: 'assign', changes};
+      const verdict = {kind: 'accepted', record};
+      this.duties.onRoutesChanged(movesOf({verdict} as never, before as never));
+    }
+    if (this.offset === this.world.log.length) this.confirmedAtMs = startMs;
+  }
+
+  /** Takes the state from a peer, which skips records. */
+  adopt(): void {
+    this.offset = this.world.log.length;
+    this.duties.onRoutesChanged([]);
+  }
+
+  /** Reads everything, as a VM that runs normally does at once. */
+  async catchUp(): Promise<void> {
+    this.read();
+    while (this.inbox.length > 0) await this.deliver();
+    this.read();
+  }
+
+  /** Submits a POST and returns the outcome. */
+  async post(id: string, shard = 0, remainingMs = 1_000): Promise<string> {
+    const {server, epoch} = this.world.row(shard, this.offset);
+    const row = this.directory.lookup(server);
+    const result: RelayResult = await this.host.dispatch({
+      id,
+      method: 'POST',
+      path: '/s/k',
+      headers: {},
+      service: 's',
+      key: `${shard}`,
+      server,
+      shard,
+      epoch,
+      fence: row?.fence ?? {term: 0, seq: 0},
+      idempotencyKey: id,
+      remainingMs,
+      crashCount: 0,
+      lengthBytes: 0,
+      body: null,
+      signal: new AbortController().signal,
+    });
+    if (result.kind === 'failed') return result.failure.reason;
+    let text = '';
+    for await (const chunk of result.body) text += String(chunk);
+    return text;
+  }
+
+  private stopped(server: string, term: number): void {
+    const next = this.nextOf.get(server)!;
+    this.world.onStopped(this.name, server, term, next);
+  }
+
+  private state() {
+    const rows = SHARDS.map(shard => this.world.row(shard, this.offset));
+    return {services: new Map([['s', {rows}]])};
+  }
+
+  private readonly routes: RouteSource = {
+    route: (service, key) => {
+      const shard = Number(key);
+      return {service, shard, ...this.world.row(shard, this.offset)};
+    },
+    dispatcherOf: () => null,
+    server: id => ({id, zone: 'z', slots: 9, checksGrants: true}) as Server,
+    service: () => null,
+    hasBundle: () => true,
+    shardsOf: server =>
+      SHARDS.map((shard): OwnedShard & {server: string} => ({
+        service: 's',
+        shard,
+        ...this.world.row(shard, this.offset),
+      })).filter(row => row.server === server),
+    leavingAtMs: () => null,
+    whenChanged: () => Promise.resolve(),
+  };
+
+  private clientOf({id: server}: Server) {
+    const {world} = this;
+    return {
+      send: async (request: {
+        id: string;
+        shard: number;
+        epoch: number;
+        fence: Fence;
+        beforeWrite: () => unknown;
+      }) => {
+        const {id, shard, epoch, fence} = request;
+        const veto = request.beforeWrite();
+        const refused = veto || !world.admits(server, shard, epoch, fence);
+        if (refused) return {kind: 'not-run', reason: 'stale-fence'};
+        world.runs.set(id, (world.runs.get(id) ?? 0) + 1);
+        if (world.stalled.has(id)) {
+          await new Promise<void>(go => world.stalled.set(id, go));
+        }
+        const body = Readable.from([Buffer.from(`ran ${id}`)]);
+        return {kind: 'answered', status: 200, headers: {}, body};
+      },
+      status: async () => ({isOk: false}),
+      drain: async () => {},
+      close: async () => {},
+    };
+  }
+}
+
+/** An idempotency key of the world's present time. */
+export const newId = (world: World, offsetMs = 0) =>
+  uuidV7(world.wallMs + offsetMs);
--- /dev/null
+++ b/packages/daemon/test/handover.test.ts
@@ -0,0 +1,330 @@
+import fc from 'fast-check';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {CALLER_SKEW_MS, uuidV7TimeMs} from '@wisteriarun/core';
+import {World, newId} from './handover-harness.js';
+
+const seed = Number(process.env['FC_SEED'] ?? Date.now() % 2 ** 31);
+const UNKNOWN = 'attempt-unknown';
+
+let world: World;
+const vm = (name: string) => world.vm(name);
+const settle = async (...names: string[]) => {
+  for (const name of names) await vm(name).catchUp();
+};
+
+/** VM p dispatches for server x and q for y, for a long time. */
+async function start(): Promise<World> {
+  const fresh = new World(['p', 'q', 'r']);
+  fresh.wallMs -= 100_000;
+  fresh.appoint('x', 'p');
+  fresh.appoint('y', 'q');
+  for (const each of fresh.vms.values()) await each.catchUp();
+  fresh.wallMs += 100_000;
+  return fresh;
+}
+
+beforeEach(async () => {
+  world = await start();
+});
+
+/** A request that ran at p, and one that never reached a server. */
+async function twoRequests() {
+  const [ran, fresh] = [newId(world), newId(world)];
+  expect(await vm('p').post(ran)).toBe(`ran ${ran}`);
+  return {ran, fresh};
+}
+
+/** Outcomes of both requests at a VM, which must not run the first again. */
+async function outcomes(name: string, {ran, fresh}: Record<string, string>) {
+  const result = [
+    await vm(name).post(ran!, 0, 30),
+    await vm(name).post(fresh!, 0, 30),
+  ];
+  expect(world.runs.get(ran!)).toBe(1);
+  return result.map(text => (text === UNKNOWN ? UNKNOWN : text.slice(0, 3)));
+}
+
+const COMPLETE = ['ran', 'ran'];
+const INCOMPLETE = [UNKNOWN, UNKNOWN];
+const WRONG = 'handover-dropped wrong-fence';
+
+describe('handover of attempt records', () => {
+  it.each(['after', 'before'])(
+    'is taken from the last dispatcher of the former owner, %s the takeover',
+    async when => {
+      const ids = await twoRequests();
+      world.move(0, 'y');
+      if (when === 'before') {
+        await settle('p');
+        await vm('q').deliver();
+        vm('q').read();
+      } else await settle('q', 'p', 'q');
+      expect(await outcomes('q', ids)).toEqual(COMPLETE);
+    },
+  );
+
+  it('is taken from the dispatcher whose fence the own one replaces', async () => {
+    const ids = await twoRequests();
+    world.stop('x', 'r');
+    await settle('p', 'r');
+    expect(world.holderOf('x')).toBe('r');
+    expect(await outcomes('r', ids)).toEqual(COMPLETE);
+  });
+
+  it('is not needed when this VM dispatched for both servers', async () => {
+    world.appoint('y', 'p');
+    await settle('p');
+    const ids = await twoRequests();
+    world.move(0, 'y');
+    await settle('p');
+    expect(await outcomes('p', ids)).toEqual(COMPLETE);
+  });
+
+  // Another VM may have run requests while this one was paused, so records of
+  // two appointments of this VM do not make a whole.
+  it('is needed when another VM held the former owner in between', async () => {
+    world.appoint('y', 'p');
+    await settle('p');
+    world.appoint('x', 'r');
+    await settle('r');
+    world.wallMs += 5_000;
+    const ran = newId(world);
+    expect(await vm('r').post(ran)).toBe(`ran ${ran}`);
+    world.move(0, 'y');
+    vm('p').read();
+    expect(await outcomes('p', {ran, fresh: newId(world)})).toEqual(INCOMPLETE);
+  });
+
+  it.each([
+    ['formerFence', () => world.move(0, 'y', false)],
+    ['replaces', () => world.appoint('x', 'q', false)],
+  ])('is not taken when %s is unknown', async (_name, change) => {
+    const ids = await twoRequests();
+    change();
+    await settle('p', 'q');
+    expect(await outcomes('q', ids)).toEqual(INCOMPLETE);
+  });
+
+  it('of a paused and replaced dispatcher is dropped', async () => {
+    // p does not run from here on; r dispatches in its place.
+    world.appoint('x', 'r');
+    await settle('r');
+    world.wallMs += 5_000;
+    const ran = newId(world);
+    expect(await vm('r').post(ran)).toBe(`ran ${ran}`);
+    world.move(0, 'y');
+    await settle('q');
+    vm('p').read();
+    await settle('q');
+    expect(vm('q').events).toEqual([WRONG]);
+    expect(await outcomes('q', {ran, fresh: newId(world)})).toEqual(INCOMPLETE);
+    await settle('r', 'q');
+    expect(await outcomes('q', {ran, fresh: newId(world)})).toEqual(COMPLETE);
+  });
+
+  it('that is lost leaves unknown what it would have told', async () => {
+    const ids = await twoRequests();
+    world.move(0, 'y');
+    await settle('p');
+    vm('q').inbox = [];
+    await settle('q');
+    expect(await outcomes('q', ids)).toEqual(INCOMPLETE);
+    world.wallMs += 5_000;
+    const later = newId(world);
+    expect(await vm('q').post(later)).toBe(`ran ${later}`);
+  });
+
+  it('that arrives twice counts once', async () => {
+    const ids = await twoRequests();
+    world.move(0, 'y');
+    await settle('p');
+    const {inbox} = vm('q');
+    inbox.push(inbox.at(-1)!);
+    await settle('q');
+    expect(vm('q').events).toEqual([WRONG]);
+    expect(await outcomes('q', ids)).toEqual(COMPLETE);
+  });
+
+  // The fence is used again by the new assigner, and the second stop's
+  // handover is lost: the first one must not pass for it.
+  it('of a stop that a new term took back is not complete', async () => {
+    world.stop('x', 'r');
+    world.onStopped = () => {};
+    await settle('p');
+    world.startTerm();
+    await settle('p');
+    world.wallMs += 5_000;
+    const ran = newId(world);
+    expect(await vm('p').post(ran)).toBe(`ran ${ran}`);
+    world.appoint('x', 'r');
+    await settle('r');
+    expect(await outcomes('r', {ran, fresh: newId(world)})).toEqual(INCOMPLETE);
+  });
+
+  // The state of a peer hides that the shard was elsewhere.
+  it('is needed again when the epoch changed between two states', async () => {
+    world.move(0, 'y');
+    await settle('q');
+    world.wallMs += 5_000;
+    const ran = newId(world);
+    expect(await vm('q').post(ran)).toBe(`ran ${ran}`);
+    world.move(0, 'x');
+    vm('p').adopt();
+    expect(await outcomes('p', {ran, fresh: newId(world)})).toEqual(INCOMPLETE);
+  });
+
+  // The new owner's dispatcher was replaced after the move, but learns of the
+  // move last: the former owner's records say nothing about the time between.
+  it('of the former owner does not cover a later change of fences', async () => {
+    world.move(0, 'y');
+    await settle('q');
+    world.wallMs += 5_000;
+    const ran = newId(world);
+    expect(await vm('q').post(ran)).toBe(`ran ${ran}`);
+    world.appoint('y', 'r');
+    await vm('p').catchUp();
+    while (vm('r').inbox.length > 0) await vm('r').deliver();
+    vm('r').read();
+    expect(await outcomes('r', {ran, fresh: newId(world)})).toEqual(INCOMPLETE);
+  });
+
+  it('counts requests in flight as unknown when the server is lost', async () => {
+    const id = newId(world);
+    world.stalled.set(id, () => {});
+    const pending = vm('p').post(id);
+    await new Promise(resolve => setTimeout(resolve, 5));
+    world.move(0, 'y');
+    await settle('p', 'q');
+    expect(await vm('q').post(id)).toBe(UNKNOWN);
+    world.stalled.get(id)!();
+    await pending;
+    expect(world.runs.get(id)).toBe(1);
+    const other = newId(world);
+    expect(await vm('q').post(other)).toBe(`ran ${other}`);
+  });
+
+  it('waits until a table names the dispatcher of the new owner', async () => {
+    const ids = await twoRequests();
+    world.move(0, 'w');
+    await settle('p');
+    expect(vm('r').inbox.filter(m => m.kind === 'handover')).toEqual([]);
+    world.appoint('w', 'r');
+    await settle('p');
+    expect(vm('r').inbox.filter(m => m.kind === 'handover')).toHaveLength(1);
+    // The fence may be younger than the move, so the records are not taken.
+    await settle('r');
+    expect(await outcomes('r', ids)).toEqual(INCOMPLETE);
+  });
+
+  it('is awaited for up to 250 ms by a request that needs it', async () => {
+    const ids = await twoRequests();
+    world.move(0, 'y');
+    vm('q').read();
+    const startMs = performance.now();
+    expect(await vm('q').post(ids.fresh)).toBe(UNKNOWN);
+    const waitedMs = performance.now() - startMs;
+    expect(waitedMs).toBeGreaterThan(240);
+    expect(waitedMs).toBeLessThan(600);
+    const pending = vm('q').post(ids.ran);
+    await settle('p', 'q');
+    expect(await pending).toBe(`ran ${ids.ran}`);
+    expect(world.runs.get(ids.ran)).toBe(1);
+  });
+
+  it('is not awaited when none is to be expected', async () => {
+    world.appoint('x', 'r', false);
+    await settle('r');
+    const startMs = performance.now();
+    expect(await vm('r').post(newId(world))).toBe(UNKNOWN);
+    expect(performance.now() - startMs).toBeLessThan(200);
+  });
+
+  it('survives tables that arrive while the last request finishes', async () => {
+    const id = newId(world);
+    world.stalled.set(id, () => {});
+    const pending = vm('p').post(id);
+    await new Promise(resolve => setTimeout(resolve, 5));
+    world.stop('x', 'r');
+    world.appoint('y', 'r');
+    while (vm('p').inbox.length > 0) await vm('p').deliver();
+    world.stalled.get(id)!();
+    await pending;
+    await new Promise(resolve => setTimeout(resolve, 5));
+    await settle('r');
+    expect(await outcomes('r', {ran: id, fresh: newId(world)})).toEqual(
+      COMPLETE,
+    );
+  });
+
+  it('never lets a request run twice, whatever is paused or lost', async () => {
+    console.log(`fast-check seed ${seed}`);
+    const name = fc.constantFrom('p', 'q', 'r');
+    const server = fc.constantFrom('x', 'y');
+    const any = fc.oneof(
+      {
+        weight: 8,
+        arbitrary: fc.tuple(fc.constant('post'), name, fc.nat(5)),
+      },
+      {weight: 6, arbitrary: fc.tuple(fc.constant('deliver'), name)},
+      {weight: 6, arbitrary: fc.tuple(fc.constant('settle'), name)},
+      {weight: 3, arbitrary: fc.tuple(fc.constant('read'), name)},
+      fc.tuple(fc.constant('adopt'), name),
+      fc.tuple(fc.constantFrom('lose', 'twice', 'late'), name),
+      fc.tuple(fc.constantFrom('appoint', 'stop'), name, server),
+      fc.tuple(fc.constant('move'), server),
+      fc.tuple(fc.constant('term')),
+      fc.tuple(fc.constant('advance')),
+    );
+    const tally = {ran: 0, replayed: 0};
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(any as fc.Arbitrary<[string, string, string | number]>, {
+          minLength: 20,
+          maxLength: 80,
+        }),
+        async steps => {
+          world = await start();
+          const ids = Array.from({length: 6}, (_, i) => newId(world, i * 700));
+          for (const [kind, a, b] of steps) {
+            const at = world.vms.get(a);
+            if (kind === 'post') {
+              const id = ids[Number(b)]!;
+              // Entries refuse keys from further in the future.
+              const leadMs = (uuidV7TimeMs(id) ?? 0) - world.wallMs;
+              if (leadMs > CALLER_SKEW_MS) continue;
+              const before = world.runs.get(id) ?? 0;
+              const text = await at!.post(id, 0, 3);
+              const ran = (world.runs.get(id) ?? 0) > before;
+              if (ran) tally.ran += 1;
+              else if (text.startsWith('ran')) tally.replayed += 1;
+            } else if (kind === 'deliver') await at!.deliver();
+            else if (kind === 'settle') await at!.catchUp();
+            else if (kind === 'read') at!.read(1);
+            else if (kind === 'adopt') at!.adopt();
+            else if (kind === 'lose') {
+              const lost = at!.inbox.findIndex(m => m.kind === 'handover');
+              if (lost >= 0) at!.inbox.splice(lost, 1);
+            } else if (kind === 'twice') {
+              const again = at!.inbox.find(m => m.kind === 'handover');
+              if (again) at!.inbox.push(again);
+            } else if (kind === 'late') {
+              const first = at!.inbox.findIndex(m => m.kind === 'handover');
+              if (first >= 0) at!.inbox.push(...at!.inbox.splice(first, 1));
+            } else if (kind === 'appoint') world.appoint(String(b), a);
+            else if (kind === 'stop') world.stop(String(b), a);
+            else if (kind === 'move') {
+              if (world.row(0).server !== a) world.move(0, a);
+            } else if (kind === 'term') world.startTerm();
+            else world.wallMs += 900;
+            for (const [id, count] of world.runs) {
+              expect(count, `${id} ran`).toBeLessThan(2);
+            }
+          }
+        },
+      ),
+      {seed, numRuns: 300},
+    );
+    console.log(JSON.stringify(tally));
+    expect(tally.replayed).toBeGreaterThan(20);
+  }, 60_000);
+});
--- a/packages/daemon/test/request-harness.ts
+++ b/packages/daemon/test/request-harness.ts
@@ -101,6 +101,7 @@
   fence: Fence = {term: 1, seq: 1};
   leaving: number | null = null;
   maxBodyBytes = 8 * 1024 * 1024;
+  longestDeadlineMs = 10_000;
   relayPort = 0;
   known = true;
   private waiters: (() => void)[] = [];
@@ -127,7 +128,8 @@
 
   service(id: string): Service | null {
     if (id !== 's') return null;
-    return {id, shards: 2, adoption: 'hold', maxBodyBytes: this.maxBodyBytes};
+    const {maxBodyBytes, longestDeadlineMs} = this;
+    return {id, shards: 2, adoption: 'hold', maxBodyBytes, longestDeadlineMs};
   }
 
   hasBundle(): boolean {
@@ -216,6 +218,7 @@
       clock,
       permissions: {check: () => this.permission},
       events: event => this.events.push(event),
+      logConfirmedAtMs: () => performance.now(),
     });
     // The takeover lies far enough back for rule 2 of the attempts.
     this.wallOffsetMs = -warmMs;
@@ -247,15 +250,24 @@
     return this;
   }
 
-  /** Moves the shards to another server, with a new epoch. */
-  move(owner: string | null): void {
+  /**
+   * Moves the shards to another server, with a new epoch. The record states
+   * the fence of the former owner's dispatcher.
+   */
+  move(owner: string | null, fence: Fence = {term: 1, seq: 1}): void {
+    const {owner: server, epoch} = this.local;
+    const moves = [0, 1].flatMap(shard =>
+      server === null
+        ? []
+        : [{service: 's', shard, from: {server, epoch, fence}, to: owner}],
+    );
     for (const routes of [this.local, this.remote]) {
       routes.change(() => {
         routes.owner = owner;
         routes.epoch += 1;
       });
     }
-    this.host.onRoutesChanged();
+    this.host.onRoutesChanged(moves);
   }
 
   call(
--- a/packages/daemon/test/request.test.ts
+++ b/packages/daemon/test/request.test.ts
@@ -349,7 +349,7 @@
     const pending = harness.call('remote', '/s/k');
     await sleep(80);
     let stopped = false;
-    const stop = harness.host.stop('a').then(() => (stopped = true));
+    const stop = harness.host.stop('a', 1).then(() => (stopped = true));
     await sleep(50);
     expect(stopped).toBe(false);
     finish();
@@ -384,7 +384,7 @@
   it('takes attempts over from a planned handover', async () => {
     const ran = uuidV7();
     await harness.call('local', '/s/k', post(ran));
-    const [handover] = await harness.host.stop('a');
+    const [handover] = await harness.host.stop('a', 1);
     expect(handover?.attempts).toHaveLength(1);
     expect(handover?.shards).toHaveLength(2);
     const next = await new RequestHarness().start({}, 0);
@@ -392,9 +392,9 @@
       expect(reasonOf(await next.call('local', '/s/k', post()))).toBe(
         'attempt-unknown',
       );
-      await next.host.stop('a');
+      await next.host.stop('a', 1);
       next.host.importAttempts(handover!);
-      next.host.setDispatch('a', {term: 1, seq: 2});
+      next.host.setDispatch('a', {term: 1, seq: 2}, {term: 1, seq: 1});
       const replay = await next.call('local', '/s/k', post(ran));
       expect(replay.text).toBe('ran /s/k');
       expect(next.servers.a.runs).toHaveLength(0);
@@ -410,7 +410,7 @@
     a.behaviour = (_req, res) => void (finish = () => void res.end('whole'));
     const pending = harness.call('local', '/s/k');
     await sleep(50);
-    const stop = harness.host.stop('a');
+    const stop = harness.host.stop('a', 1);
     harness.host.setDispatch('a', {term: 1, seq: 5});
     finish();
     await pending;
