Cancel written requests through the cancel path

Cause: a server that does not watch its connections goes on with a request whose caller has left, and keeps the slot busy.

Ruled out: sending the call on the connection of lease and status calls (a server that hangs would delay them by 500 ms for each call).

Change: when the caller leaves after the request was written, the client sends one DELETE with the request's id, at most 32 at once for a server, on a connection of its own. A refusal before the write is now stated even if the deadline ends in the same moment.

--- a/packages/backend/src/client.ts
+++ b/packages/backend/src/client.ts
@@ -3,6 +3,7 @@
 import {DecoratorHandler, Pool, type Dispatcher} from 'undici';
 import {Result} from 'true-myth';
 import {
+  CANCEL_PATH_PREFIX,
   ERRORS,
   HEADERS,
   LEASE_PATH,
@@ -24,6 +25,8 @@
 const CONTROL_TIMEOUT_MS = 500;
 const CONNECT_TIMEOUT_MS = 500;
 const KEEP_ALIVE_MS = 30_000;
+/** Largest number of cancel calls that wait for their answers. */
+const MAX_CANCELS = 32;
 const STATUS_CONFLICT = 409;
 const REFUSAL_STATUSES: readonly number[] = [421, 503];
 
@@ -74,7 +77,9 @@
 export class BackendClient {
   private readonly requests: Pool;
   private readonly control: Pool;
+  private readonly cancels: Pool;
   private readonly tracked: Dispatcher;
+  private cancelling = 0;
 
   /**
    * @param target - The server.
@@ -93,6 +98,7 @@
     this.requests = new Pool(origin, {...common, connections});
     // Lease calls never wait behind requests.
     this.control = new Pool(origin, {...common, connections: 1});
+    this.cancels = new Pool(origin, {...common, connections: 1});
     this.tracked = this.requests.compose(trackProgress);
   }
 
@@ -133,6 +139,14 @@
       () => deadline.abort(new Error('deadline passed')),
       Math.max(0, request.remainingMs),
     );
+    const cancel = () => {
+      if (progress.written) void this.cancel(request.id);
+    };
+    request.signal.addEventListener('abort', cancel, {once: true});
+    const settle = () => {
+      clearTimeout(timer);
+      request.signal.removeEventListener('abort', cancel);
+    };
     try {
       const answer = await this.tracked.request({
         method: request.method as Dispatcher.HttpMethod,
@@ -144,11 +158,11 @@
       } as Dispatcher.RequestOptions);
       const refusal = refusalOf(answer.statusCode, answer.headers);
       if (refusal) {
-        clearTimeout(timer);
+        settle();
         void answer.body.dump().catch(() => {});
         return refusal;
       }
-      answer.body.once('close', () => clearTimeout(timer));
+      answer.body.once('close', settle);
       return {
         kind: 'answered',
         status: answer.statusCode,
@@ -156,7 +170,7 @@
         body: answer.body,
       };
     } catch {
-      clearTimeout(timer);
+      settle();
       return failureOf(request, progress, deadline.signal.aborted);
     }
   }
@@ -168,7 +182,8 @@
    * @returns Resolves when the connections are closed.
    */
   async drain(): Promise<void> {
-    await Promise.all([this.requests.close(), this.control.close()]);
+    const pools = [this.requests, this.control, this.cancels];
+    await Promise.all(pools.map(pool => pool.close()));
   }
 
   /**
@@ -177,7 +192,29 @@
    * @returns Resolves when the connections are closed.
    */
   async close(): Promise<void> {
-    await Promise.all([this.requests.destroy(), this.control.destroy()]);
+    const pools = [this.requests, this.control, this.cancels];
+    await Promise.all(pools.map(pool => pool.destroy()));
+  }
+
+  /**
+   * Asks the server to end a request, for servers that do not notice a closed
+   * connection. There is no second try, and a surplus of calls is left out.
+   */
+  private async cancel(id: string): Promise<void> {
+    if (this.cancelling >= MAX_CANCELS) return;
+    this.cancelling += 1;
+    try {
+      const answer = await this.cancels.request({
+        method: 'DELETE',
+        path: CANCEL_PATH_PREFIX + encodeURIComponent(id),
+        signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+    } catch {
+      // The closed connection and the deadline end the request as well.
+    } finally {
+      this.cancelling -= 1;
+    }
   }
 
   private async call(
@@ -256,9 +293,12 @@
 ): BackendResult {
   const cancelled = request.signal.aborted;
   if (!progress.written) {
-    let reason: Reason = progress.vetoed ?? 'server-unreachable';
-    if (deadlinePassed) reason = 'deadline-expired';
+    let reason: Reason = deadlinePassed
+      ? 'deadline-expired'
+      : 'server-unreachable';
     if (cancelled) reason = 'caller-gone';
+    // A refusal says more than that the deadline ended at the same time.
+    reason = progress.vetoed ?? reason;
     return {kind: 'not-run', reason, retryAfterMs: null};
   }
   const connectionLost = !cancelled && !deadlinePassed;
--- a/packages/backend/test/client.test.ts
+++ b/packages/backend/test/client.test.ts
@@ -179,6 +179,56 @@
     expect(closed).toBe(true);
   });
 
+  // Some servers notice a closed connection only when they answer.
+  it('calls the cancel path for a written request of a caller that left', async () => {
+    const calls: string[] = [];
+    const server = createServer((req, res) => {
+      calls.push(`${req.method} ${req.url}`);
+      if (req.method === 'DELETE') res.end();
+      else if (req.url === '/s/head') res.write('part');
+    });
+    const client = clientOf(await portOf(server));
+    for (const path of ['/s/wait', '/s/head']) {
+      const gone = new AbortController();
+      const id = `r${path}`;
+      const sent = client.send(request({id, path, signal: gone.signal}));
+      await sleep(50);
+      gone.abort();
+      const result = await sent;
+      if (result.kind === 'answered') result.body.on('error', () => {});
+    }
+    const vetoed = new AbortController();
+    const {signal} = vetoed;
+    const beforeWrite = () => 'no-permission' as const;
+    const sent = client.send(request({id: 'unwritten', signal, beforeWrite}));
+    vetoed.abort();
+    await sent;
+    await sleep(50);
+    const cancels = ['wait', 'head'].map(
+      name => `DELETE /wisteriarun/requests/r%2Fs%2F${name}`,
+    );
+    expect(calls.filter(call => call.startsWith('DELETE'))).toEqual(cancels);
+  });
+
+  it('bounds the cancel calls to a server that does not answer them', async () => {
+    let cancels = 0;
+    const server = createServer(req => {
+      if (req.method === 'DELETE') cancels += 1;
+    });
+    const client = clientOf(await portOf(server), 40);
+    const gone = new AbortController();
+    const {signal} = gone;
+    const sent = Array.from({length: 40}, (_, i) =>
+      client.send(request({id: `r${i}`, signal})),
+    );
+    await sleep(100);
+    gone.abort();
+    await Promise.all(sent);
+    await sleep(700);
+    expect(cancels).toBeGreaterThan(0);
+    expect(cancels).toBeLessThanOrEqual(32);
+  });
+
   it('sends routing headers and replaces forged ones', async () => {
     let seen: Record<string, unknown> = {};
     let content = '';
--- a/packages/daemon/test/request-harness.ts
+++ b/packages/daemon/test/request-harness.ts
@@ -10,6 +10,7 @@
 import type {AddressInfo} from 'node:net';
 import {CallerServer} from '@wisteriarun/caller';
 import {
+  CANCEL_PATH_PREFIX,
   STATUS_PATH,
   bundleSchema,
   type EventInput,
@@ -41,6 +42,8 @@
   inFlight = 0;
   maxInFlight = 0;
   readonly cancelled: string[] = [];
+  /** Number of cancel calls. */
+  cancelCalls = 0;
   behaviour: Behaviour = (req, res) => {
     req.resume();
     req.once('end', () => res.end(`ran ${req.url}`));
@@ -62,6 +65,11 @@
       );
       return;
     }
+    if (req.url?.startsWith(CANCEL_PATH_PREFIX)) {
+      this.cancelCalls += 1;
+      res.end();
+      return;
+    }
     this.runs.push(String(req.url));
     this.inFlight += 1;
     this.maxInFlight = Math.max(this.maxInFlight, this.inFlight);
