Read suspects at each decision and keep the reason of a refusal

Causes: whether a request is a suspect was fixed when it was queued, so two waiting requests that became suspects ran together, and a second crash did not show which one it was. A caller's timeout ignored the service's longest deadline.

--- a/packages/core/src/core/request/dispatch-queue.ts
+++ b/packages/core/src/core/request/dispatch-queue.ts
@@ -15,6 +15,7 @@
   readonly deadlineMs: number;
   /** Memory that the waiting request holds. */
   readonly sizeBytes: number;
+  /** Read at each decision, because a crash may be found meanwhile. */
   readonly suspect: boolean;
 }
 
@@ -204,6 +205,16 @@
     else this.draining.delete(shardId);
   }
 
+  /**
+   * Tells whether the requests of a shard are held back.
+   *
+   * @param shardId - Service and shard.
+   * @returns True while they are.
+   */
+  isDraining(shardId: string): boolean {
+    return this.draining.has(shardId);
+  }
+
   /**
    * Counts the started requests of a shard.
    *
--- a/packages/daemon/src/request/entry-handler.ts
+++ b/packages/daemon/src/request/entry-handler.ts
@@ -45,6 +45,8 @@
   crashCount: number;
   /** Set once a try may have run. */
   doubt: RequestFailure | null;
+  /** Latest refusal after which another route may help. */
+  refusal: RequestFailure | null;
 }
 
 interface Target {
@@ -78,8 +80,9 @@
     const repeatable = methodClass(request.method) === 'idempotent';
     const refusal = repeatable ? null : this.checkKey(request);
     if (refusal) return refusal;
-    const deadlineMs = startMs + request.timeoutMs;
-    const body = await this.readBody(request, service);
+    const timeoutMs = Math.min(request.timeoutMs, service.longestDeadlineMs);
+    const deadlineMs = startMs + timeoutMs;
+    const body = await this.readBody(request, service, timeoutMs);
     if ('kind' in body) return body;
     this.budget.recordRequest(clock.monotonicMs());
     const trip: Trip = {
@@ -89,6 +92,7 @@
       repeatable,
       crashCount: 0,
       doubt: null,
+      refusal: null,
     };
     return this.travel(trip);
   }
@@ -107,12 +111,13 @@
   private async readBody(
     request: CallerRequest,
     service: Service,
+    timeoutMs: number,
   ): Promise<ReplayBody | RequestFailure> {
     let timer: NodeJS.Timeout | undefined;
     const late = new Promise<RequestFailure>(resolve => {
       timer = setTimeout(
         () => resolve(requestFailure('deadline-expired')),
-        request.timeoutMs,
+        timeoutMs,
       );
     });
     const read = ReplayBody.read(
@@ -132,13 +137,15 @@
   private async travel(trip: Trip): Promise<CallerAnswer | RequestFailure> {
     for (let attempt = 1; ; attempt++) {
       const target = this.findTarget(trip);
+      const leftMs = this.remainingMs(trip);
       const result = isTarget(target)
         ? await this.send(trip, target)
         : failedWith(target);
       if (result.kind === 'answered') return result;
-      const {failure} = result;
+      const failure = explain(result.failure, trip.refusal, leftMs);
       trip.crashCount = Math.max(trip.crashCount, result.crashCount);
       if (REASONS[failure.reason].outcome === 'unknown') trip.doubt ??= failure;
+      else if (REASONS[failure.reason].reroute) trip.refusal = failure;
       if (!this.mayRetry(trip, failure.reason)) {
         return this.conclude(trip, failure);
       }
@@ -249,6 +256,21 @@
   }
 }
 
+/**
+ * A last try with little time left fails for lack of time, but the refusal
+ * before it is why the time has run out.
+ */
+function explain(
+  failure: RequestFailure,
+  refusal: RequestFailure | null,
+  leftMs: number,
+): RequestFailure {
+  const isLate =
+    failure.reason === 'deadline-expired' ||
+    failure.reason === 'deadline-unreachable';
+  return isLate && refusal && leftMs < TABLE_WAIT_MS ? refusal : failure;
+}
+
 function isTarget(target: Target | Reason): target is Target {
   return typeof target !== 'string';
 }
--- a/packages/daemon/src/request/server-dispatcher.ts
+++ b/packages/daemon/src/request/server-dispatcher.ts
@@ -296,6 +296,7 @@
     attempt: AttemptId | null,
     deadlineMs: number,
   ): Promise<RelayResult> {
+    const {crashes, clock} = this.parts;
     const nowMs = this.now();
     let wake: Job['wake'] = () => {};
     const woken = new Promise<RequestFailure | null>(resolve => {
@@ -315,7 +316,10 @@
       shardId: shardId(request.service, request.shard),
       deadlineMs,
       sizeBytes: REQUEST_OVERHEAD_BYTES + held,
-      suspect: this.parts.crashes.count(print, nowMs) > 0,
+      // A crash may be found while the request waits.
+      get suspect() {
+        return crashes.count(print, clock.monotonicMs()) > 0;
+      },
     };
     const full = this.queue.offer(entry, this.times.serviceTimeMs, nowMs);
     if (full) {
@@ -341,7 +345,12 @@
   private pump(): void {
     const nowMs = this.now();
     for (const entry of this.queue.expire(nowMs)) {
-      entry.value.wake(requestFailure('deadline-expired', 0));
+      const held = this.queue.isDraining(entry.shardId);
+      entry.value.wake(
+        held
+          ? requestFailure('shard-moving')
+          : requestFailure('deadline-expired', 0),
+      );
     }
     while (this.fence) {
       const entry = this.queue.next(nowMs);
--- a/packages/daemon/test/request.test.ts
+++ b/packages/daemon/test/request.test.ts
@@ -1,7 +1,10 @@
 import {request as httpRequest} from 'node:http';
+import {Readable} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {HEADERS} from '@wisteriarun/core';
+import {HEADERS, requestFailure} from '@wisteriarun/core';
+import {EntryHandler} from '@wisteriarun/daemon';
+import {RelayClient} from '@wisteriarun/peer';
 import {
   RequestHarness,
   outcomeOf,
@@ -172,7 +175,7 @@
     await pending;
     await sleep(80);
     expect(a.cancelled).toEqual(['/s/k']);
-    expect(a.runs).toHaveLength(1);
+    expect([a.runs.length, a.cancelCalls]).toEqual([1, 1]);
   });
 
   it('never gives a late answer to another caller', async () => {
@@ -368,6 +371,86 @@
     expect(harness.servers.a.runs).toHaveLength(1);
   });
 
+  // On a busy machine the last try began just before the deadline, and its
+  // "deadline-expired" hid the refusal that had used the time up.
+  it('states the refusal that used up the time of a request', async () => {
+    let tries = 0;
+    const entry = new EntryHandler({
+      routes: harness.local,
+      clock: {monotonicMs: () => performance.now(), wallMs: Date.now},
+      local: {
+        dispatch: async () => {
+          const isFirst = ++tries === 1;
+          await sleep(isFirst ? 250 : 100);
+          const reason = isFirst ? 'no-permission' : 'deadline-expired';
+          return {
+            kind: 'failed',
+            failure: requestFailure(reason),
+            crashCount: 0,
+          };
+        },
+      },
+      relay: new RelayClient('x'),
+      random: () => 0,
+    });
+    const answer = await entry.handle({
+      id: 'r',
+      method: 'GET',
+      path: '/s/k',
+      headers: {},
+      service: 's',
+      key: 'k',
+      idempotencyKey: null,
+      timeoutMs: 320,
+      lengthBytes: 0,
+      body: Readable.from([]),
+      gone: new AbortController().signal,
+    });
+    expect(answer).toMatchObject({reason: 'no-permission'});
+    expect(tries).toBe(2);
+  });
+
+  it('states that the shard moves when the time ends in its drain', async () => {
+    await harness.host.setDrain('a', 's', [0], true);
+    const headers = {'Request-Timeout-Ms': '100'};
+    const answer = await harness.call('local', '/s/k', {headers});
+    expect([answer.status, reasonOf(answer)]).toEqual([503, 'shard-moving']);
+    expect(harness.servers.a.runs).toHaveLength(0);
+  });
+
+  it('does not exceed the longest deadline of the service', async () => {
+    harness.servers.a.behaviour = () => {};
+    harness.local.longestDeadlineMs = 100;
+    const startMs = performance.now();
+    const headers = {'Request-Timeout-Ms': '5000'};
+    const answer = await harness.call('local', '/s/k', {headers});
+    expect(reasonOf(answer)).toBe('answer-timeout');
+    expect(performance.now() - startMs).toBeLessThan(2_000);
+  });
+
+  // A request that waits may be the same as one that has just crashed another
+  // server; two suspects at once would not show which one it is.
+  it('runs waiting requests singly once they are suspects', async () => {
+    const {a} = harness.servers;
+    a.behaviour = (req, res) => void setTimeout(() => res.end(req.url), 60);
+    const keys = [uuidV7(), uuidV7()];
+    const calls = [harness.call('local', '/s/k1')];
+    await sleep(30);
+    calls.push(...keys.map(key => harness.call('local', '/s/k2', post(key))));
+    await sleep(20);
+    harness.host.onCrashRecords(
+      keys.map(key => ({
+        fingerprint: JSON.stringify(['s', 'k2', key]),
+        count: 1,
+        server: 'b',
+        ageMs: 0,
+      })),
+    );
+    const answers = await Promise.all(calls);
+    expect(answers.map(({status}) => status)).toEqual([200, 200, 200]);
+    expect(a.maxInFlight).toBe(1);
+  });
+
   it('answers unknown for keys created before an unplanned takeover', async () => {
     const before = uuidV7();
     harness.host.setDispatch('a', {term: 1, seq: 3});
