End drains with their moves and test the control roles

Causes: the dispatcher of the former owner kept the drain of a shard that had moved, so that the shard was held back for the rest of the term when it returned to the same server. A drain that was taken back while its requests finished was still confirmed, and the confirmation could count for the next drain. Each table went through all shards once for each of its rows, also for rows that had not changed.

Change: drains end when their shard leaves the server or their term ends; only the drain that was ordered is confirmed; rows with the same fence change nothing.

--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -97,11 +97,15 @@
     this.sendHandovers();
   }
 
-  /** Takes back what assigners of ended terms ordered. */
+  /** Takes back drains of ended terms and of shards that have left. */
   onStateChanged(): void {
-    const {dispatcher} = this.options;
-    const outdated = this.orders.takeOutdatedDrains(server =>
-      this.currentTermOf(server),
+    const {dispatcher, routes} = this.options;
+    const outdated = this.orders.takeOutdatedDrains(
+      ({server, service, shard, term}) =>
+        term >= this.currentTermOf(server) &&
+        [...routes.shardsOf(server)].some(
+          owned => owned.service === service && owned.shard === shard,
+        ),
     );
     for (const {server, service, shard} of outdated) {
       void dispatcher.setDrain(server, service, [shard], false);
@@ -205,12 +209,16 @@
   ): Promise<void> {
     const {server, service, shards, term, drain} = message;
     if (term < this.currentTermOf(server)) return;
-    for (const shard of shards) {
-      this.orders.noteDrain({server, service, shard, term}, drain);
-    }
+    const orders = shards.map(shard => ({server, service, shard, term}));
+    for (const order of orders) this.orders.noteDrain(order, drain);
     await this.options.dispatcher.setDrain(server, service, shards, drain);
     if (!drain) return;
-    this.send(from, {kind: 'shard-drained', term, server, service, shards});
+    // The drain may have been taken back while requests finished.
+    const drained = orders.filter(order => this.orders.isDrained(order));
+    if (drained.length === 0) return;
+    const ready = drained.map(({shard}) => shard);
+    const answer = {term, server, service, shards: ready};
+    this.send(from, {kind: 'shard-drained', ...answer});
   }
 
   private sendHandovers(): void {
--- a/packages/daemon/src/control/zone-orders.ts
+++ b/packages/daemon/src/control/zone-orders.ts
@@ -17,7 +17,8 @@
 /**
  * Remembers drains and stops. A new assigner does not know what the former one
  * ordered, so a drain of an older term is taken back, and a stopped fence may
- * be used again if a newer term's table lists it.
+ * be used again if a newer term's table lists it. A drain also ends with the
+ * move that it served; else the shard would be held back when it returns.
  */
 export class ZoneOrders {
   private readonly drains = new Map<string, DrainOrder>();
@@ -30,7 +31,7 @@
    * @param on - True to drain.
    */
   noteDrain(order: DrainOrder, on: boolean): void {
-    const id = `${order.server}/${order.service}/${order.shard}`;
+    const id = drainId(order);
     if (on) this.drains.set(id, order);
     else this.drains.delete(id);
   }
@@ -61,20 +62,34 @@
   }
 
   /**
-   * Removes the drains of older terms.
+   * Tells whether a drain is in force.
    *
-   * @param currentTermOf - Current term of a server's zone.
+   * @param order - The order as it was noted.
+   * @returns False when it was taken back, even if it was ordered again.
+   */
+  isDrained(order: DrainOrder): boolean {
+    return this.drains.get(drainId(order)) === order;
+  }
+
+  /**
+   * Removes the drains that no longer apply.
+   *
+   * @param applies - Whether the term and the owner are still the same.
    * @returns The removed drains.
    */
   takeOutdatedDrains(
-    currentTermOf: (server: string) => number,
+    applies: (order: DrainOrder) => boolean,
   ): readonly DrainOrder[] {
     const outdated: DrainOrder[] = [];
     for (const [id, order] of this.drains) {
-      if (order.term >= currentTermOf(order.server)) continue;
+      if (applies(order)) continue;
       this.drains.delete(id);
       outdated.push(order);
     }
     return outdated;
   }
 }
+
+function drainId({server, service, shard}: DrainOrder): string {
+  return `${server}/${service}/${shard}`;
+}
--- a/packages/daemon/src/request/dispatcher-host.ts
+++ b/packages/daemon/src/request/dispatcher-host.ts
@@ -82,6 +82,8 @@
     const dispatcher = this.servers.get(server);
     if (!dispatcher) return;
     const former = dispatcher.currentFence;
+    // Each table repeats the rows that have not changed.
+    if (isSameFence(former, fence)) return;
     if (this.stopping.has(server)) {
       // Tables of other changes arrive while the last requests finish.
       if (!fence) return;
@@ -279,8 +281,6 @@
     fence: Fence,
     replaces: Fence | null,
   ): void {
-    const known = this.appointments.get(server);
-    if (known && isSameFence(former, fence)) return;
     if (!isSameFence(former, replaces)) this.custody.release(server);
     const sinceMs = this.options.clock.monotonicMs();
     this.appointments.set(server, {fence, replaces, sinceMs});
--- /dev/null
+++ b/packages/daemon/test/control/orders.test.ts
@@ -0,0 +1,156 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {DispatchRow, PeerMessage} from '@wisteriarun/core';
+import {DispatchDirectory} from '../../src/control/dispatch-directory.js';
+import {PeerDuties} from '../../src/control/peer-duties.js';
+
+const F1 = {term: 1, seq: 1};
+const row = (server: string, fence = F1, dispatcher = 'me'): DispatchRow => ({
+  server,
+  dispatcher,
+  fence,
+  replaces: null,
+});
+const table = (
+  term: number,
+  version: number,
+  ...rows: DispatchRow[]
+): PeerMessage => ({kind: 'dispatch-table', zone: 'z', term, version, rows});
+const stop = (term: number): PeerMessage => {
+  return {kind: 'dispatch-stop', zone: 'z', term, server: 'x', next: 'n'};
+};
+
+let term: number;
+let owned: number[];
+let drained: Map<number, boolean>;
+let finish: () => void;
+let fences: Map<string, unknown>;
+let sent: PeerMessage[];
+let duties: PeerDuties;
+const flush = () => new Promise(resolve => setImmediate(resolve));
+const handle = (message: PeerMessage) => duties.handle('a', message);
+const drain = (on: boolean, inTerm = term) =>
+  handle({
+    kind: 'shard-drain',
+    term: inTerm,
+    server: 'x',
+    service: 's',
+    shards: [0, 1],
+    next: null,
+    drain: on,
+  });
+const answers = () =>
+  sent.map(message => ('shards' in message ? message.shards : message.kind));
+
+beforeEach(() => {
+  term = 1;
+  owned = [0, 1];
+  drained = new Map();
+  finish = () => {};
+  fences = new Map();
+  sent = [];
+  duties = new PeerDuties({
+    vm: 'me',
+    clock: {monotonicMs: () => 0, wallMs: () => 0},
+    replica: {
+      get state() {
+        return {terms: new Map([['z', {term}]])};
+      },
+    },
+    directory: new DispatchDirectory(),
+    routes: {
+      server: () => ({zone: 'z'}),
+      shardsOf: () => owned.map(shard => ({service: 's', shard})),
+      onChanged: () => {},
+    },
+    dispatcher: {
+      setDispatch: (server: string, fence: unknown) =>
+        fences.set(server, fence),
+      stop: async () => [],
+      onRoutesChanged: () => [],
+      setDrain: (_x: string, _s: string, shards: number[], on: boolean) => {
+        for (const shard of shards) drained.set(shard, on);
+        return on ? new Promise<void>(go => (finish = go)) : Promise.resolve();
+      },
+    },
+    sendRemote: (_vm: string, message: PeerMessage) => sent.push(message),
+    broadcast: () => {},
+  } as never);
+});
+
+describe('orders of assigners', () => {
+  it('confirms a drain when nothing is in flight', async () => {
+    drain(true);
+    await flush();
+    expect(sent).toEqual([]);
+    finish();
+    await flush();
+    expect(answers()).toEqual([[0, 1]]);
+  });
+
+  // A late confirmation would count for the next drain of the same shards,
+  // although requests were started in between.
+  it('does not confirm a drain that was taken back', async () => {
+    drain(true);
+    const finishFirst = finish;
+    drain(false);
+    finishFirst();
+    drain(true);
+    await flush();
+    expect(sent).toEqual([]);
+    finish();
+    await flush();
+    expect(answers()).toEqual([[0, 1]]);
+  });
+
+  it('takes drains of an older term back', async () => {
+    drain(true);
+    term = 2;
+    duties.onStateChanged();
+    expect([...drained.values()]).toEqual([false, false]);
+    finish();
+    await flush();
+    expect(sent).toEqual([]);
+    drain(true, 1);
+    expect([...drained.values()]).toEqual([false, false]);
+  });
+
+  // Otherwise the shard is held back when it returns in the same term.
+  it('ends the drain of a shard that has moved', () => {
+    drain(true);
+    owned = [1];
+    duties.onStateChanged();
+    expect([...drained]).toEqual([
+      [0, false],
+      [1, true],
+    ]);
+  });
+
+  it('does not use a stopped fence again within its term', async () => {
+    handle(table(1, 1, row('x')));
+    expect(fences.get('x')).toEqual(F1);
+    handle(stop(1));
+    await flush();
+    handle(table(1, 2, row('x')));
+    expect(fences.get('x')).toBeNull();
+    handle(table(2, 1, row('x')));
+    expect(fences.get('x')).toEqual(F1);
+  });
+
+  it('ignores orders of an older term', async () => {
+    handle(table(1, 1, row('x')));
+    term = 2;
+    handle(stop(1));
+    await flush();
+    expect(sent).toEqual([]);
+  });
+
+  // A new assigner's first table names only the servers that have answered.
+  it('keeps rows that the first table of a new term does not name', () => {
+    handle(table(1, 2, row('x'), row('y')));
+    handle(table(2, 1, row('y', {term: 2, seq: 1}, 'other')));
+    handle(table(1, 3, row('y')));
+    expect(fences.get('x')).toEqual(F1);
+    expect(fences.get('y')).toBeNull();
+    expect(duties.dispatchedServers).toBe(1);
+  });
+});
