--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -34,6 +34,7 @@
 import {PermissionTable} from './control/permissions.js';
 import {RouteTable} from './control/route-table.js';
 import {ServerClients} from './control/server-clients.js';
+import {movesOf} from './control/shard-moves.js';
 import {SnapshotWriter} from './control/snapshot-writer.js';
 import {StateReplica, type FoldedRecord} from './control/state-replica.js';
 import {
@@ -151,6 +152,7 @@
       permissions: this.permissions,
       events: event => this.emit(event),
       meter: this.requestMeter,
+      logConfirmedAtMs: () => this.log.confirmedAtMs,
     });
     this.runner = this.createRunner();
     this.duties = this.createDuties();
@@ -264,7 +266,7 @@
       followIsolation(this.dispatcher, this.hasher, folded, before, state);
     }
     this.routes.onChanged();
-    this.dispatcher.onRoutesChanged();
+    this.duties.onRoutesChanged(movesOf(folded, before));
     this.runner.onFolded(state, folded, before);
     this.duties.onStateChanged();
     if (before.bundle !== state.bundle) this.onBundle(state);
--- a/packages/daemon/test/request-harness.ts
+++ b/packages/daemon/test/request-harness.ts
@@ -10,6 +10,7 @@
 import type {AddressInfo} from 'node:net';
 import {CallerServer} from '@wisteriarun/caller';
 import {
+  CANCEL_PATH_PREFIX,
   STATUS_PATH,
   bundleSchema,
   type EventInput,
@@ -41,6 +42,8 @@
   inFlight = 0;
   maxInFlight = 0;
   readonly cancelled: string[] = [];
+  /** Number of cancel calls. */
+  cancelCalls = 0;
   behaviour: Behaviour = (req, res) => {
     req.resume();
     req.once('end', () => res.end(`ran ${req.url}`));
@@ -62,6 +65,11 @@
       );
       return;
     }
+    if (req.url?.startsWith(CANCEL_PATH_PREFIX)) {
+      this.cancelCalls += 1;
+      res.end();
+      return;
+    }
     this.runs.push(String(req.url));
     this.inFlight += 1;
     this.maxInFlight = Math.max(this.maxInFlight, this.inFlight);
@@ -101,6 +109,7 @@
   fence: Fence = {term: 1, seq: 1};
   leaving: number | null = null;
   maxBodyBytes = 8 * 1024 * 1024;
+  longestDeadlineMs = 10_000;
   relayPort = 0;
   known = true;
   private waiters: (() => void)[] = [];
@@ -127,7 +136,8 @@
 
   service(id: string): Service | null {
     if (id !== 's') return null;
-    return {id, shards: 2, adoption: 'hold', maxBodyBytes: this.maxBodyBytes};
+    const {maxBodyBytes, longestDeadlineMs} = this;
+    return {id, shards: 2, adoption: 'hold', maxBodyBytes, longestDeadlineMs};
   }
 
   hasBundle(): boolean {
@@ -216,6 +226,7 @@
       clock,
       permissions: {check: () => this.permission},
       events: event => this.events.push(event),
+      logConfirmedAtMs: () => performance.now(),
     });
     // The takeover lies far enough back for rule 2 of the attempts.
     this.wallOffsetMs = -warmMs;
@@ -247,15 +258,24 @@
     return this;
   }
 
-  /** Moves the shards to another server, with a new epoch. */
-  move(owner: string | null): void {
+  /**
+   * Moves the shards to another server, with a new epoch. The record states
+   * the fence of the former owner's dispatcher.
+   */
+  move(owner: string | null, fence: Fence = {term: 1, seq: 1}): void {
+    const {owner: server, epoch} = this.local;
+    const moves = [0, 1].flatMap(shard =>
+      server === null
+        ? []
+        : [{service: 's', shard, from: {server, epoch, fence}, to: owner}],
+    );
     for (const routes of [this.local, this.remote]) {
       routes.change(() => {
         routes.owner = owner;
         routes.epoch += 1;
       });
     }
-    this.host.onRoutesChanged();
+    this.host.onRoutesChanged(moves);
   }
 
   call(
