Hand attempt knowledge over in planned changes

Three places lost the knowledge. A stop released the shards before its records were exported, so the next dispatcher counted as new for 1,250 ms. A drained shard counted as not known from the export to the record of its move, and again after a move that was given up. Requests that waited when a drain began were exported as unknown although they had not run.

Ruled out: an assigner that moves twice (one shard-moved event per shard) and a late handover message (the records showed the failures at the former dispatcher, before the new epoch).

Change: the stop exports before it releases; a shard that was handed over answers shard-moving for filings that cannot have run before, and keeps its takeover time if the move is given up; waiting filings of a drained shard go back to their entries as not run.

--- a/packages/core/src/core/request/attempts.ts
+++ b/packages/core/src/core/request/attempts.ts
@@ -36,6 +36,8 @@
   | {readonly kind: 'run'}
   | {readonly kind: 'wait'}
   | {readonly kind: 'replay'; readonly answer: KeptAnswer}
+  /** Not run before; the next dispatcher of the shard has its records. */
+  | {readonly kind: 'moved'}
   | {
       readonly kind: 'unknown';
       readonly reason: 'attempt-unknown' | 'attempt-expired';
@@ -61,6 +63,8 @@
   private readonly entries = new Map<string, Entry>();
   /** Per shard the wall time since which all attempts are known here. */
   private readonly knownSince = new Map<string, number>();
+  /** Former `knownSince` of shards whose records were handed over. */
+  private readonly handedOver = new Map<string, number>();
   /** Per shard the creation time of the newest record that was dropped. */
   private readonly forgotten = new Map<string, number>();
   private readonly maxRecords: number;
@@ -95,6 +99,7 @@
   takeOver(service: string, shard: number, sinceWallMs: number): void {
     const id = shardId(service, shard);
     const floor = this.forgotten.get(id) ?? -Infinity;
+    this.handedOver.delete(id);
     this.knownSince.set(id, Math.max(sinceWallMs, floor));
   }
 
@@ -106,7 +111,47 @@
    * @param shard - Shard number.
    */
   release(service: string, shard: number): void {
-    this.knownSince.delete(shardId(service, shard));
+    const id = shardId(service, shard);
+    this.knownSince.delete(id);
+    this.handedOver.delete(id);
+  }
+
+  /**
+   * Notes that the records of a shard went to its next dispatcher. Until the
+   * shard is released or taken over, a request that cannot have run before is
+   * `moved` instead of unknown.
+   *
+   * @param service - Service id.
+   * @param shard - Shard number.
+   */
+  handOver(service: string, shard: number): void {
+    const id = shardId(service, shard);
+    const since = this.knownSince.get(id);
+    if (since !== undefined) this.handedOver.set(id, since);
+    this.knownSince.delete(id);
+  }
+
+  /**
+   * Notes that a shard stays here after its records were handed over. No other
+   * VM has dispatched it, so what was known before is still complete.
+   *
+   * @param service - Service id.
+   * @param shard - Shard number.
+   */
+  takeBack(service: string, shard: number): void {
+    const since = this.handedOver.get(shardId(service, shard));
+    if (since !== undefined) this.takeOver(service, shard, since);
+  }
+
+  /**
+   * Tells whether the records of a shard went to its next dispatcher.
+   *
+   * @param service - Service id.
+   * @param shard - Shard number.
+   * @returns True until the shard is released or taken over.
+   */
+  isHandedOver(service: string, shard: number): boolean {
+    return this.handedOver.has(shardId(service, shard));
   }
 
   /**
@@ -135,11 +180,13 @@
     if (id.createdWallMs < wallMs - ATTEMPT_WINDOW_MS) {
       return {kind: 'unknown', reason: 'attempt-expired'};
     }
-    const since = this.knownSinceMs(id.service, id.shard);
+    const handedOver = this.handedOver.get(shardId(id.service, id.shard));
+    const since = this.knownSinceMs(id.service, id.shard) ?? handedOver;
     const safeFrom = (since ?? Infinity) + CALLER_SKEW_MS + VM_SKEW_MS;
     if (id.createdWallMs <= safeFrom) {
       return {kind: 'unknown', reason: 'attempt-unknown'};
     }
+    if (handedOver !== undefined) return {kind: 'moved'};
     this.put(name, {id, state: {kind: 'running'}, sizeBytes: 0});
     this.evict();
     return {kind: 'run'};
--- a/packages/core/src/core/request/dispatch-queue.ts
+++ b/packages/core/src/core/request/dispatch-queue.ts
@@ -191,6 +191,16 @@
     else this.draining.delete(shardId);
   }
 
+  /**
+   * Tells whether requests of a shard are held back.
+   *
+   * @param shardId - Shard.
+   * @returns True during a drain.
+   */
+  isDraining(shardId: string): boolean {
+    return this.draining.has(shardId);
+  }
+
   /**
    * Counts the started requests of a shard.
    *
--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -149,7 +149,13 @@
     from: string,
     {server, next, term}: MessageOf<'dispatch-stop'>,
   ): Promise<void> {
-    await this.options.dispatcher.stop(server);
+    await this.options.dispatcher.stop(server, () =>
+      this.handOverServer(server, next),
+    );
+    this.send(from, {kind: 'dispatch-stopped', server, term});
+  }
+
+  private handOverServer(server: string, next: string): void {
     const byService = new Map<string, number[]>();
     for (const {service, shard} of this.options.routes.shardsOf(server)) {
       const shards = byService.get(service) ?? [];
@@ -159,7 +165,6 @@
     for (const [service, shards] of byService) {
       this.handOver(next, service, shards);
     }
-    this.send(from, {kind: 'dispatch-stopped', server, term});
   }
 
   private async drain(
--- a/packages/daemon/src/request/dispatcher-host.ts
+++ b/packages/daemon/src/request/dispatcher-host.ts
@@ -18,6 +18,7 @@
   Clock,
   CrashListener,
   EventSink,
+  OwnedShard,
   PermissionCheck,
   RouteSource,
 } from './types.js';
@@ -52,7 +53,9 @@
   private readonly attempts = new AttemptTable();
   private readonly crashes = new CrashGuard();
   /** Shards whose dispatcher this VM is, as `service/shard`. */
-  private held = new Map<string, {service: string; shard: number}>();
+  private held = new Map<string, OwnedShard>();
+  /** Servers whose requests in flight finish before the handover. */
+  private readonly stopping = new Set<string>();
   private readonly pending = new Map<string, PendingHandover>();
   private readonly listeners = new Set<CrashListener>();
 
@@ -82,6 +85,8 @@
     const dispatcher = this.servers.get(server);
     if (!dispatcher) return;
     const former = dispatcher.currentFence;
+    // Another VM may have dispatched while this one stopped.
+    if (fence && this.stopping.delete(server)) this.releaseShardsOf(server);
     if (former && fence && !isSame(former, fence)) {
       const continuous = replaces !== null && isSame(former, replaces);
       if (!continuous) this.releaseShardsOf(server);
@@ -96,18 +101,22 @@
    */
   onRoutesChanged(): void {
     const {routes, clock} = this.options;
-    const held = new Map<string, {service: string; shard: number}>();
+    const held = new Map<string, OwnedShard>();
     for (const [id, dispatcher] of this.servers) {
-      if (!dispatcher.currentFence) continue;
-      for (const {service, shard} of routes.shardsOf(id)) {
-        held.set(`${service}/${shard}`, {service, shard});
+      if (!dispatcher.currentFence && !this.stopping.has(id)) continue;
+      for (const owned of routes.shardsOf(id)) {
+        held.set(`${owned.service}/${owned.shard}`, owned);
       }
     }
-    for (const [id, {service, shard}] of this.held) {
-      if (!held.has(id)) this.attempts.release(service, shard);
+    for (const [id, {service, shard, epoch}] of this.held) {
+      const next = held.get(id);
+      const moved = next?.epoch !== epoch;
+      const handedOver = this.attempts.isHandedOver(service, shard);
+      if (!next || (moved && handedOver)) this.attempts.release(service, shard);
     }
     for (const [id, {service, shard}] of held) {
       if (this.attempts.knownSinceMs(service, shard) !== null) continue;
+      if (this.attempts.isHandedOver(service, shard)) continue;
       const since = this.takePending(id) ?? clock.wallMs();
       this.attempts.takeOver(service, shard, since);
     }
@@ -132,24 +141,31 @@
   ): Promise<void> {
     const dispatcher = this.servers.get(server);
     if (!dispatcher) return;
-    await Promise.all(
-      shards.map(shard => dispatcher.setDrain(service, shard, on)),
+    const drained = shards.map(shard =>
+      dispatcher.setDrain(service, shard, on),
     );
+    if (!on) shards.forEach(shard => this.attempts.takeBack(service, shard));
+    await Promise.all(drained);
   }
 
   /**
    * Ends dispatching for a server and closes its connections.
    *
    * @param server - Server id.
+   * @param handOver - Called when nothing is in flight, while the attempts of
+   * the server's shards are still known here.
    * @returns Resolves when nothing is in flight.
    */
-  async stop(server: string): Promise<void> {
+  async stop(server: string, handOver = () => {}): Promise<void> {
     const dispatcher = this.servers.get(server);
-    if (!dispatcher) return;
+    if (!dispatcher) return handOver();
+    this.stopping.add(server);
     dispatcher.setFence(null);
     await dispatcher.whenIdle();
+    handOver();
     // Dispatching may have been given back while requests finished.
     if (dispatcher.currentFence) return;
+    this.stopping.delete(server);
     this.servers.delete(server);
     this.onRoutesChanged();
     await dispatcher.close();
@@ -166,7 +182,7 @@
   exportAttempts(service: string, shards: readonly number[]): Handover {
     const wallMs = this.options.clock.wallMs();
     const exported = this.attempts.export(service, shards, wallMs);
-    for (const shard of shards) this.attempts.release(service, shard);
+    for (const shard of shards) this.attempts.handOver(service, shard);
     return {kind: 'handover', service, ...exported};
   }
 
--- a/packages/daemon/src/request/server-dispatcher.ts
+++ b/packages/daemon/src/request/server-dispatcher.ts
@@ -138,6 +138,13 @@
       this.pump();
       return Promise.resolve();
     }
+    // A waiting request has an attempt record, which the handover would pass on
+    // as unknown. It has not run, so its entry sends it to the next owner.
+    this.refuseWaiting(job =>
+      job.attempt && shardId(job.request.service, job.request.shard) === id
+        ? 'shard-moving'
+        : null,
+    );
     if (this.queue.inFlightOf(id) === 0) return Promise.resolve();
     return new Promise(resolve => addWaiter(this.drainWaiters, id, resolve));
   }
@@ -220,7 +227,13 @@
     const {attempts, clock} = this.parts;
     for (;;) {
       const decision = attempts.begin(attempt, clock.wallMs());
-      if (decision.kind === 'run') return null;
+      if (decision.kind === 'moved') return failedWith('shard-moving');
+      if (decision.kind === 'run') {
+        const {service, shard} = attempt;
+        if (!this.queue.isDraining(shardId(service, shard))) return null;
+        attempts.endNotRun(attempt);
+        return failedWith('shard-moving');
+      }
       if (decision.kind === 'replay') return replayed(decision.answer);
       if (decision.kind === 'unknown') return failedWith(decision.reason);
       // The first attempt may have run, so neither end of the wait is a proof.
--- a/packages/daemon/test/request.test.ts
+++ b/packages/daemon/test/request.test.ts
@@ -296,6 +296,39 @@
     }
   });
 
+  // Guards against a planned change after which new filings are unknown,
+  // because the stop dropped the takeover times before the handover.
+  it('hands over the takeover times of a stopped server', async () => {
+    let known: number[] = [];
+    await harness.host.stop('a', () => {
+      const {shards} = harness.host.exportAttempts('s', [0, 1]);
+      known = shards.map(({shard}) => shard);
+    });
+    expect(known).toEqual([0, 1]);
+  });
+
+  // Guards against filings that are unknown between the handover of a shard
+  // and the record of its move.
+  it('says that a new filing of a shard that moves has not run', async () => {
+    await harness.call('local', '/s/k', post());
+    await harness.host.setDrain('a', 's', [0, 1], true);
+    const quick = {'request-timeout-ms': '100'};
+    const call = async () => {
+      const {headers, ...rest} = post();
+      return harness.call('local', '/s/k', {
+        ...rest,
+        headers: {...headers, ...quick},
+      });
+    };
+    expect(reasonOf(await call())).toBe('shard-moving');
+    harness.host.exportAttempts('s', [0, 1]);
+    harness.host.onRoutesChanged();
+    expect(reasonOf(await call())).toBe('shard-moving');
+    expect(harness.servers.a.runs).toHaveLength(1);
+    await harness.host.setDrain('a', 's', [0, 1], false);
+    expect((await call()).status).toBe(200);
+  });
+
   it('identifies a request that crashes servers and spares the others', async () => {
     const {a} = harness.servers;
     const records: number[] = [];
