--- a/testing/demo/src/cluster.ts
+++ b/testing/demo/src/cluster.ts
@@ -361,12 +361,16 @@
       ...change,
       version: (this.published?.version ?? 0) + 1,
     });
-    const record = bundleRecord(bundle, this.signer);
-    await post(`${this.logUrl}/streams/${STREAM}/records`, {record});
+    await this.appendRecord(bundleRecord(bundle, this.signer));
     this.published = bundle;
     return bundle;
   }
 
+  /** Appends any record to the stream of the deployment. */
+  async appendRecord(record: unknown): Promise<void> {
+    await post(`${this.logUrl}/streams/${STREAM}/records`, {record});
+  }
+
   /** A server as bundles describe it. */
   describeServer(id: string): Server {
     const {spec, port} = this.server(id);
--- /dev/null
+++ b/testing/demo/test/failures/crashes.test.ts
@@ -0,0 +1,97 @@
+/** Requests that crash every server that runs them. */
+import {request} from 'undici';
+import {describe, expect, it} from 'vitest';
+import {CRASH_HEADER, runsOf, uuidv7} from '@wisteriarun/standins';
+import {
+  SERVED_AGAIN_MS,
+  SERVICE,
+  TEST_TIMEOUT_MS,
+  longestGapMs,
+  serversOf,
+  sleep,
+  underLoad,
+  until,
+  wallMs,
+} from './scenario.js';
+
+const MAX_CRASHES = 2;
+const TRIES = 8;
+
+describe('crashing request', () => {
+  // Guards against a request that takes one server after another down because
+  // each entry VM judges it anew.
+  it.each(['GET', 'POST'] as const)(
+    '%s resent through all entries: at most two servers crash, then 422',
+    async method => {
+      const key = 'poison';
+      let firstMs = 0;
+      const result = await underLoad(
+        {servers: serversOf(4)},
+        async scenario => {
+          const {cluster} = scenario;
+          const addresses = cluster.entryAddresses();
+          const idempotencyKey = uuidv7();
+          let last: {status: number; reason: unknown} | null = null;
+          firstMs = wallMs();
+          for (let number = 0; number < TRIES; number++) {
+            const address = addresses[number % addresses.length]!;
+            const response = await request(
+              `http://${address}/${SERVICE}/${key}`,
+              {
+                method,
+                headers: {
+                  [CRASH_HEADER]: '1',
+                  'idempotency-key': idempotencyKey,
+                  'request-timeout-ms': '4000',
+                },
+              },
+            );
+            await response.body.dump();
+            last = {
+              status: response.statusCode,
+              reason: response.headers['wisteriarun-reason'],
+            };
+            if (last.status === 422) break;
+            await sleep(200);
+          }
+          const crashed = cluster
+            .serverSpecs()
+            .filter(({id}) => !cluster.isRunning(id));
+          expect(crashed.length).toBeGreaterThan(0);
+          expect(crashed.length).toBeLessThanOrEqual(MAX_CRASHES);
+          // A filing whose first try may have run is not run again at all.
+          if (method === 'GET') {
+            expect(last).toEqual({status: 422, reason: 'crash-suspect'});
+          }
+          for (const address of addresses) {
+            await until(
+              `${key} is read through ${address}`,
+              3_000,
+              async () => {
+                const response = await request(
+                  `http://${address}/${SERVICE}/${key}`,
+                );
+                await response.body.dump();
+                return response.statusCode === 200;
+              },
+            );
+          }
+          await sleep(500);
+          const after = cluster
+            .serverSpecs()
+            .filter(({id}) => !cluster.isRunning(id));
+          expect(after).toEqual(crashed);
+        },
+      );
+      expect(result.violations).toEqual([]);
+      const boots = runsOf(result.records).filter(
+        run => run.key === key && run.method === method,
+      );
+      expect(boots.length).toBeGreaterThan(0);
+      expect(longestGapMs(result, firstMs)).toBeLessThan(
+        MAX_CRASHES * SERVED_AGAIN_MS,
+      );
+    },
+    TEST_TIMEOUT_MS,
+  );
+});
--- /dev/null
+++ b/testing/demo/test/failures/entries.test.ts
@@ -0,0 +1,147 @@
+/** Failures of entry VMs in their roles as assigner and dispatcher. */
+import {describe, expect, it} from 'vitest';
+import {
+  SERVED_AGAIN_MS,
+  TEST_TIMEOUT_MS,
+  answeredAfter,
+  longestGapMs,
+  serversOf,
+  sleep,
+  underLoad,
+  until,
+  wallMs,
+  type Result,
+  type Scenario,
+} from './scenario.js';
+
+/** Kills an entry VM and takes it out of the load. */
+async function killEntry({cluster, load}: Scenario, entry: string) {
+  const survivors = ['e1', 'e2', 'e3'].filter(id => id !== entry);
+  const lostAtMs = wallMs();
+  await cluster.killEntry(entry);
+  // The load balancer takes a lost VM out of service.
+  load.setEntries(survivors.map(id => cluster.entryAddress(id)));
+  await sleep(4_500);
+  return {lostAtMs, survivors};
+}
+
+function expectKept(result: Result, lostAtMs: number) {
+  expect(result.violations).toEqual([]);
+  expect(longestGapMs(result, lostAtMs)).toBeLessThan(SERVED_AGAIN_MS);
+  const settled = answeredAfter(result, lostAtMs + SERVED_AGAIN_MS);
+  expect(settled).toBeGreaterThan(60);
+}
+
+describe('loss of an entry VM', () => {
+  // Guards against a zone that stays without an assigner, and against double
+  // runs of filings that callers send again through another entry VM.
+  it(
+    'assigner killed: another takes the term, filings run once',
+    async () => {
+      let lostAtMs = 0;
+      const result = await underLoad({}, async scenario => {
+        const assigner = await scenario.assigner();
+        const lost = await killEntry(scenario, assigner);
+        lostAtMs = lost.lostAtMs;
+        const seenBy = lost.survivors[0]!;
+        expect(lost.survivors).toContain(
+          await scenario.assigner('zone-a', seenBy),
+        );
+      });
+      expectKept(result, lostAtMs);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against a dispatcher that is replaced late, or whose successor
+  // runs a filing again that the lost one had started.
+  it(
+    'dispatcher killed: its servers are served again, resent filings run once',
+    async () => {
+      let lostAtMs = 0;
+      const result = await underLoad(
+        {servers: SLOW_SERVERS},
+        async scenario => {
+          const {entry} = await scenario.plainDispatcher();
+          ({lostAtMs} = await killEntry(scenario, entry));
+        },
+      );
+      expectKept(result, lostAtMs);
+      const resentFilings = result.attempts.filter(
+        ({operation, tryNumber, startMs}) =>
+          operation === 'post' && tryNumber > 0 && startMs >= lostAtMs,
+      );
+      expect(resentFilings.length).toBeGreaterThan(0);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against a paused assigner that goes on with its old term.
+  it(
+    'assigner frozen for 4 s: its old term changes nothing when it returns',
+    async () => {
+      let frozenAtMs = 0;
+      let thawedAtMs = 0;
+      let successorTerm = 0;
+      const result = await underLoad({}, async scenario => {
+        const {cluster, load} = scenario;
+        const assigner = await scenario.assigner();
+        const others = ['e1', 'e2', 'e3'].filter(id => id !== assigner);
+        frozenAtMs = wallMs();
+        cluster.freezeEntry(assigner);
+        load.setEntries(others.map(id => cluster.entryAddress(id)));
+        await sleep(4_000);
+        const {terms} = await scenario.status(others[0]!);
+        successorTerm = terms[0]!.term;
+        expect(terms[0]!.holder.startsWith(`${assigner}.`)).toBe(false);
+        thawedAtMs = wallMs();
+        cluster.thawEntry(assigner);
+        load.setEntries(cluster.entryAddresses());
+        await until('the former assigner knows the new term', 3_000, async () =>
+          (await scenario.status(assigner)).terms.some(
+            ({term}) => term >= successorTerm,
+          ),
+        );
+        await sleep(2_000);
+      });
+      expectKept(result, frozenAtMs);
+      const staleLeases = result.records.filter(
+        record =>
+          record.kind === 'lease' &&
+          record.wallMs >= thawedAtMs &&
+          record.term < successorTerm,
+      );
+      expect(staleLeases).toEqual([]);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against a paused dispatcher that sends its queue to servers that
+  // another VM dispatches for by now.
+  it(
+    'dispatcher frozen for 4 s: its queued requests are refused, none runs twice',
+    async () => {
+      let frozenAtMs = 0;
+      const result = await underLoad(
+        {servers: SLOW_SERVERS},
+        async scenario => {
+          const {cluster, load} = scenario;
+          const {entry} = await scenario.plainDispatcher();
+          const others = ['e1', 'e2', 'e3'].filter(id => id !== entry);
+          frozenAtMs = wallMs();
+          cluster.freezeEntry(entry);
+          load.setEntries(others.map(id => cluster.entryAddress(id)));
+          await sleep(4_000);
+          cluster.thawEntry(entry);
+          load.setEntries(cluster.entryAddresses());
+          await sleep(2_500);
+        },
+      );
+      expectKept(result, frozenAtMs);
+    },
+    TEST_TIMEOUT_MS,
+  );
+});
+
+/** Requests long enough that some are in progress at any time. */
+const SLOW_SERVERS = serversOf(3, {slots: 8, serviceTimeMs: 80});
--- /dev/null
+++ b/testing/demo/test/failures/log.test.ts
@@ -0,0 +1,133 @@
+/** Failures of the log service, alone and together with a server's loss. */
+import {describe, expect, it} from 'vitest';
+import {
+  SERVED_AGAIN_MS,
+  TEST_TIMEOUT_MS,
+  answeredAfter,
+  longestGapMs,
+  sleep,
+  underLoad,
+  wallMs,
+  type Result,
+} from './scenario.js';
+
+const OUTAGE_MS = 10_000;
+/**
+ * Keys that no failure concerns; far below the outage, and no more than what
+ * the design allows for a loss, so that a busy machine does not break it.
+ */
+const UNDISTURBED_MS = SERVED_AGAIN_MS;
+
+function otherKeys(result: Result, keys: ReadonlySet<string>) {
+  return new Set(
+    result.attempts.map(({key}) => key).filter(key => !keys.has(key)),
+  );
+}
+
+describe('failures of the log', () => {
+  // Guards against leases, dispatching or routing that depend on the log.
+  it(
+    'log down for 10 s: no key stops',
+    async () => {
+      let downAtMs = 0;
+      const result = await underLoad({}, async ({cluster}) => {
+        downAtMs = wallMs();
+        await cluster.setLogFault({outage: true});
+        await sleep(OUTAGE_MS);
+        await cluster.setLogFault({outage: false});
+        await sleep(1_000);
+      });
+      expect(result.violations).toEqual([]);
+      expect(longestGapMs(result, downAtMs)).toBeLessThan(UNDISTURBED_MS);
+      expect(answeredAfter(result, downAtMs)).toBeGreaterThan(500);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against a takeover that no accepted record backs, and against
+  // shards that stay unserved once the log is back.
+  it.each(['killed', 'frozen'] as const)(
+    'log down and a server %s: its shards wait for the log, others go on',
+    async how => {
+      let lostAtMs = 0;
+      let backAtMs = 0;
+      let lost: ReadonlySet<string> = new Set();
+      const result = await underLoad(
+        {},
+        async scenario => {
+          const {cluster} = scenario;
+          lost = await scenario.keysOf('s2');
+          await cluster.setLogFault({outage: true});
+          await sleep(500);
+          lostAtMs = wallMs();
+          if (how === 'killed') await cluster.killServer('s2');
+          else cluster.freezeServer('s2');
+          await sleep(5_000);
+          backAtMs = wallMs();
+          await cluster.setLogFault({outage: false});
+          await sleep(4_000);
+          if (how === 'frozen') cluster.thawServer('s2');
+          await sleep(1_000);
+        },
+        {timeoutMs: 2_000},
+      );
+      expect(result.violations).toEqual([]);
+      expect(lost.size).toBeGreaterThan(3);
+      const others = otherKeys(result, lost);
+      expect(longestGapMs(result, lostAtMs, others)).toBeLessThan(
+        UNDISTURBED_MS,
+      );
+      const during = result.runs.filter(
+        ({key, effect, wallMs: atMs}) =>
+          lost.has(key) &&
+          effect === 'done' &&
+          atMs > lostAtMs + 50 &&
+          atMs < backAtMs,
+      );
+      expect(during.map(({server, key}) => `${key} at ${server}`)).toEqual([]);
+      expect(longestGapMs(result, backAtMs, lost)).toBeLessThan(
+        SERVED_AGAIN_MS,
+      );
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against an assigner that appends again, or gives a shard to two
+  // servers, because it takes a lost answer for a failed append.
+  it(
+    'answers of the log lost while a server is lost: one owner, served again',
+    async () => {
+      let lostAtMs = 0;
+      let answersLost = 0;
+      const result = await underLoad({}, async ({cluster}) => {
+        await cluster.setLogFault({loseAnswers: 3});
+        lostAtMs = wallMs();
+        await cluster.killServer('s2');
+        await sleep(5_000);
+        ({answersLost} = await cluster.logCounters());
+      });
+      expect(answersLost).toBeGreaterThan(0);
+      expect(result.violations).toEqual([]);
+      expect(longestGapMs(result, lostAtMs)).toBeLessThan(SERVED_AGAIN_MS);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against time-outs that take a slow log for a lost one.
+  it(
+    'log slow by 300 ms while a server is lost: served again within 3 s',
+    async () => {
+      let lostAtMs = 0;
+      const result = await underLoad({}, async ({cluster}) => {
+        await cluster.setLogFault({slowMs: 300});
+        await sleep(1_000);
+        lostAtMs = wallMs();
+        await cluster.killServer('s2');
+        await sleep(5_000);
+      });
+      expect(result.violations).toEqual([]);
+      expect(longestGapMs(result, lostAtMs)).toBeLessThan(SERVED_AGAIN_MS);
+    },
+    TEST_TIMEOUT_MS,
+  );
+});
--- /dev/null
+++ b/testing/demo/test/failures/replacement.test.ts
@@ -0,0 +1,114 @@
+/** Entry VMs that are added and replaced. */
+import {request} from 'undici';
+import {describe, expect, it} from 'vitest';
+import {Cluster} from '@wisteriarun/demo';
+import {
+  IN_FORCE_MS,
+  SERVICE,
+  SMALL,
+  TEST_TIMEOUT_MS,
+  longestGapMs,
+  sleep,
+  statusOf,
+  underLoad,
+  until,
+  wallMs,
+} from './scenario.js';
+
+/** Longest wait while one entry VM after another is stopped gracefully. */
+const PLANNED_GAP_MS = 3_000;
+
+async function readsThrough(address: string): Promise<boolean> {
+  const response = await request(`http://${address}/${SERVICE}/key-0`, {
+    signal: AbortSignal.timeout(2_000),
+  });
+  await response.body.dump();
+  return response.statusCode === 200;
+}
+
+describe('replacement of entry VMs', () => {
+  // Guards against a VM that can start only from the log.
+  it(
+    'started during a log outage: it gets the state from peers and serves',
+    async () => {
+      const result = await underLoad({}, async ({cluster}) => {
+        await cluster.setLogFault({outage: true});
+        await cluster.addEntry({id: 'e4', zone: 'zone-a'});
+        await until('e4 serves', IN_FORCE_MS, () =>
+          readsThrough(cluster.entryAddress('e4')),
+        );
+        const {bundle, logAvailable} = await statusOf(cluster, 'e4');
+        expect(bundle?.version).toBe(1);
+        expect(logAvailable).toBe(false);
+        await cluster.setLogFault({outage: false});
+        await sleep(500);
+      });
+      expect(result.violations).toEqual([]);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against state that lives only in the processes that are replaced.
+  it(
+    'all replaced one after another under load: every promise kept',
+    async () => {
+      let startMs = 0;
+      const result = await underLoad(
+        {settings: {limits: {shutdown_delay_ms: 300}}},
+        async ({cluster, load}) => {
+          startMs = wallMs();
+          const live = SMALL.entries.map(({id}) => id);
+          for (const id of [...live]) {
+            const next = `${id}-next`;
+            await cluster.addEntry({id: next, zone: 'zone-a'});
+            await until(`${next} serves`, IN_FORCE_MS, () =>
+              readsThrough(cluster.entryAddress(next)),
+            );
+            live.splice(live.indexOf(id), 1, next);
+            load.setEntries(live.map(entry => cluster.entryAddress(entry)));
+            // Requests that already go to the old VM finish there.
+            await sleep(300);
+            expect(await cluster.stopEntry(id)).toBe(0);
+            await cluster.listVm(id, false);
+          }
+          await sleep(1_000);
+        },
+      );
+      expect(result.violations).toEqual([]);
+      expect(longestGapMs(result, startMs)).toBeLessThan(PLANNED_GAP_MS);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against a loss of agreed state with the last process.
+  it(
+    'all killed at once: new ones recover from snapshot and records',
+    async () => {
+      const settings = {log: {snapshot_interval_ms: 1_000}};
+      const cluster = await Cluster.start({...SMALL, settings});
+      try {
+        await cluster.waitUntilServing(IN_FORCE_MS);
+        const before = await statusOf(cluster, 'e1');
+        await until('a snapshot is on the log', IN_FORCE_MS, async () => {
+          return ((await cluster.logCounters()).appends['snapshot'] ?? 0) > 0;
+        });
+        // A record after the snapshot has to be folded as well.
+        const {version} = await cluster.publishBundle();
+        const ids = SMALL.entries.map(({id}) => id);
+        await Promise.all(ids.map(id => cluster.killEntry(id)));
+        // Only the snapshot and what follows it stay on the log.
+        await cluster.setLogFault({retainCount: 3});
+        await Promise.all(ids.map(id => cluster.restartEntry(id)));
+        await cluster.waitUntilServing(IN_FORCE_MS);
+        for (const id of ids) {
+          const {bundle, offset} = await statusOf(cluster, id);
+          expect(bundle?.version).toBe(version);
+          expect(offset).toBeGreaterThanOrEqual(before.offset);
+        }
+      } finally {
+        await cluster.close();
+      }
+    },
+    TEST_TIMEOUT_MS,
+  );
+});
--- /dev/null
+++ b/testing/demo/test/failures/servers.test.ts
@@ -0,0 +1,100 @@
+/** Failures of backend servers. */
+import {describe, expect, it} from 'vitest';
+import {
+  SERVED_AGAIN_MS,
+  TEST_TIMEOUT_MS,
+  answeredAfter,
+  longestGapMs,
+  serversOf,
+  sleep,
+  underLoad,
+  wallMs,
+} from './scenario.js';
+
+describe('loss of a server', () => {
+  // Guards against a takeover that is late or that loses or repeats filings.
+  it(
+    'server killed: its keys are served again within 3 s, nothing runs twice',
+    async () => {
+      let lostAtMs = 0;
+      const result = await underLoad({}, async ({cluster}) => {
+        lostAtMs = wallMs();
+        await cluster.killServer('s2');
+        await sleep(5_000);
+      });
+      expect(result.violations).toEqual([]);
+      expect(longestGapMs(result, lostAtMs)).toBeLessThan(SERVED_AGAIN_MS);
+      const before = result.runs.filter(run => run.server === 's2');
+      expect(before.length).toBeGreaterThan(10);
+      expect(answeredAfter(result, lostAtMs + SERVED_AGAIN_MS)).toBeGreaterThan(
+        100,
+      );
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against a resumed process that completes its requests after
+  // another server has taken its shards over.
+  it(
+    'server frozen for 4 s: its resumed requests take no effect',
+    async () => {
+      let frozenAtMs = 0;
+      let thawedAtMs = 0;
+      const result = await underLoad(
+        // Requests long enough that some are in progress at the freeze.
+        {servers: serversOf(3, {slots: 8})},
+        async ({cluster}) => {
+          await cluster.setServer('s2', {
+            serviceTimeMs: 150,
+            serviceTimeShape: 'fixed',
+          });
+          await sleep(1_000);
+          frozenAtMs = wallMs();
+          cluster.freezeServer('s2');
+          await sleep(4_000);
+          thawedAtMs = wallMs();
+          cluster.thawServer('s2');
+          await sleep(3_000);
+        },
+      );
+      expect(result.violations).toEqual([]);
+      expect(longestGapMs(result, frozenAtMs)).toBeLessThan(SERVED_AGAIN_MS);
+      const ofFrozen = result.runs.filter(run => run.server === 's2');
+      const startedBefore = new Set(
+        ofFrozen
+          .filter(run => run.effect === 'started' && run.wallMs < frozenAtMs)
+          .map(run => run.requestId),
+      );
+      const ended = ofFrozen.filter(
+        run => run.wallMs >= thawedAtMs && startedBefore.has(run.requestId),
+      );
+      // Without a request in progress the test would prove nothing.
+      expect(ended.length).toBeGreaterThan(0);
+      expect(ended.filter(run => run.effect === 'done')).toEqual([]);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  // Guards against a second takeover that starts from the state of the first.
+  it(
+    'two servers lost one after the other: keys return within 3 s each time',
+    async () => {
+      const losses: number[] = [];
+      const result = await underLoad({}, async ({cluster}) => {
+        for (const id of ['s1', 's3']) {
+          losses.push(wallMs());
+          await cluster.killServer(id);
+          await sleep(4_000);
+        }
+      });
+      expect(result.violations).toEqual([]);
+      for (const [index, fromMs] of losses.entries()) {
+        const gaps = result.gaps.filter(
+          gap => gap.toMs < (losses[index + 1] ?? Infinity),
+        );
+        expect(longestGapMs({gaps}, fromMs)).toBeLessThan(SERVED_AGAIN_MS);
+      }
+    },
+    TEST_TIMEOUT_MS,
+  );
+});
--- /dev/null
+++ b/testing/demo/test/failures/shutdown.test.ts
@@ -0,0 +1,167 @@
+/** Planned stops of entry VMs. */
+import {createHash, randomBytes} from 'node:crypto';
+import {Readable} from 'node:stream';
+import {request} from 'undici';
+import {beforeAll, describe, expect, it} from 'vitest';
+import {
+  SERVICE,
+  TEST_TIMEOUT_MS,
+  brief,
+  sleep,
+  underLoad,
+  vmOf,
+  type Result,
+  type Scenario,
+} from './scenario.js';
+
+const UPLOAD_MS = 6_000;
+const CHUNKS = 60;
+const CHUNK_BYTES = 16 * 1024;
+const DOWNLOAD_BYTES = 60_000;
+const DEADLINE = {'request-timeout-ms': '30000'};
+
+/** Sends a body over six seconds; resolves with both checksums. */
+async function upload(address: string, key: string) {
+  const hash = createHash('sha256');
+  async function* chunks() {
+    for (let index = 0; index < CHUNKS; index++) {
+      await sleep(UPLOAD_MS / CHUNKS);
+      const chunk = randomBytes(CHUNK_BYTES);
+      hash.update(chunk);
+      yield chunk;
+    }
+  }
+  const response = await request(`http://${address}/${SERVICE}/${key}`, {
+    method: 'PUT',
+    headers: {...DEADLINE, 'content-length': String(CHUNKS * CHUNK_BYTES)},
+    body: Readable.from(chunks()),
+  });
+  const answer = (await response.body.json()) as {sha256?: string};
+  return {
+    status: response.statusCode,
+    received: answer.sha256,
+    sent: hash.digest('hex'),
+  };
+}
+
+/** Reads a stored value with pauses; resolves with the number of bytes. */
+async function download(address: string) {
+  const response = await request(`http://${address}/${SERVICE}/download`, {
+    headers: DEADLINE,
+    highWaterMark: 1_024,
+  });
+  let sizeBytes = 0;
+  for await (const chunk of response.body) {
+    sizeBytes += (chunk as Buffer).length;
+    await sleep(100);
+  }
+  return {status: response.statusCode, sizeBytes};
+}
+
+async function storeValue({cluster}: Scenario) {
+  const body = `v1\n${'x'.repeat(DOWNLOAD_BYTES - 3)}`;
+  const address = cluster.entryAddress('e1');
+  const {statusCode} = await request(`http://${address}/${SERVICE}/download`, {
+    method: 'PUT',
+    headers: DEADLINE,
+    body,
+  });
+  expect(statusCode).toBe(200);
+}
+
+interface Stop {
+  readonly result: Result;
+  readonly exitCode: number | null;
+  readonly uploaded: Awaited<ReturnType<typeof upload>> | null;
+  readonly downloaded: Awaited<ReturnType<typeof download>> | null;
+}
+
+/**
+ * Key outside the load whose server the entry VM dispatches for, or does not.
+ */
+async function uploadKey(scenario: Scenario, entry: string, own: boolean) {
+  for (let number = 0; ; number++) {
+    const key = `upload-${number}`;
+    const view = await scenario.operator(entry).explain(SERVICE, key);
+    if (view.isErr) throw new Error(view.error.kind);
+    const dispatcher = view.value.dispatcher;
+    if (dispatcher && (vmOf(dispatcher) === entry) === own) return key;
+    if (number > 1_000) throw new Error(`no key for ${entry}`);
+  }
+}
+
+/** Stops an entry VM that has a role, during transfers or without any. */
+async function stopUnderLoad(
+  role: 'assigner' | 'dispatcher',
+  transfers: boolean,
+): Promise<Stop> {
+  let stop: Omit<Stop, 'result'> | null = null;
+  const result = await underLoad({}, async scenario => {
+    const {cluster, load} = scenario;
+    await storeValue(scenario);
+    const stopping =
+      role === 'assigner'
+        ? await scenario.assigner()
+        : (await scenario.plainDispatcher()).entry;
+    const others = ['e1', 'e2', 'e3'].filter(id => id !== stopping);
+    load.setEntries(others.map(id => cluster.entryAddress(id)));
+    await sleep(500);
+    const address = cluster.entryAddress(stopping);
+    const key = await uploadKey(scenario, stopping, role === 'dispatcher');
+    const uploading = transfers ? upload(address, key) : null;
+    const downloading = transfers ? download(address) : null;
+    await sleep(1_000);
+    const exit = cluster.stopEntry(stopping);
+    const [uploaded, downloaded] = await Promise.all([uploading, downloading]);
+    stop = {exitCode: await exit, uploaded, downloaded};
+    await sleep(1_000);
+  });
+  return {result, ...stop!};
+}
+
+function failuresOf({result}: Stop): string[] {
+  const {attempts} = result;
+  const failed = attempts.filter(a => a.outcome !== 'answered');
+  return brief(failed, attempts[0]!.startMs);
+}
+
+describe.each(['assigner', 'dispatcher'] as const)(
+  'graceful stop of the %s',
+  role => {
+    // Guards against filings that fail while duties are handed over.
+    it(
+      'no request through other entries fails',
+      async () => {
+        const stop = await stopUnderLoad(role, false);
+        expect(stop.exitCode).toBe(0);
+        expect(stop.result.violations).toEqual([]);
+        expect(failuresOf(stop)).toEqual([]);
+      },
+      TEST_TIMEOUT_MS,
+    );
+
+    describe('during a 6 s upload and a slow download', () => {
+      let stop: Stop;
+
+      beforeAll(async () => {
+        stop = await stopUnderLoad(role, true);
+      }, TEST_TIMEOUT_MS);
+
+      // Guards against a stop that cuts what is in flight.
+      it('both end whole, and the exit code is 0', () => {
+        const {uploaded, downloaded, exitCode, result} = stop;
+        expect(uploaded!.status).toBe(200);
+        expect(uploaded!.received).toBe(uploaded!.sent);
+        expect(downloaded).toEqual({status: 200, sizeBytes: DOWNLOAD_BYTES});
+        expect(exitCode).toBe(0);
+        expect(result.violations).toEqual([]);
+      });
+
+      // Guards against a handover that waits for the transfers while the
+      // requests of the same servers wait for the handover.
+      it('no request through other entries fails', () => {
+        expect(failuresOf(stop)).toEqual([]);
+      });
+    });
+  },
+);
--- /dev/null
+++ b/testing/demo/test/failures/unchecked.test.ts
@@ -0,0 +1,52 @@
+/** Servers that do not check who sends them a request (design, 3.5). */
+import {describe, expect, it} from 'vitest';
+import {
+  TEST_TIMEOUT_MS,
+  serversOf,
+  sleep,
+  underLoad,
+  wallMs,
+} from './scenario.js';
+
+/** Longest deadline of the load, so that a takeover waits a short time. */
+const DEADLINE_MS = 2_000;
+const OPTIONS = {
+  servers: serversOf(3, {slots: 8, serviceTimeMs: 60, checksGrants: false}),
+  settings: {limits: {longest_deadline_ms: DEADLINE_MS}},
+};
+
+describe('servers that do not check grants', () => {
+  // Guards against a successor that sends while requests of the former
+  // dispatcher may still arrive: the server would run both.
+  it.each(['killed', 'frozen'] as const)(
+    'dispatcher %s: no request runs twice, its servers are served again',
+    async how => {
+      let lostAtMs = 0;
+      let lostServer = '';
+      const result = await underLoad(
+        OPTIONS,
+        async scenario => {
+          const {cluster, load} = scenario;
+          const {entry, server} = await scenario.plainDispatcher();
+          lostServer = server;
+          const others = ['e1', 'e2', 'e3'].filter(id => id !== entry);
+          lostAtMs = wallMs();
+          if (how === 'killed') await cluster.killEntry(entry);
+          else cluster.freezeEntry(entry);
+          load.setEntries(others.map(id => cluster.entryAddress(id)));
+          await sleep(6_000);
+          if (how === 'frozen') cluster.thawEntry(entry);
+          await sleep(2_000);
+        },
+        {timeoutMs: DEADLINE_MS},
+      );
+      expect(result.violations).toEqual([]);
+      const servedAgain = result.runs.filter(
+        ({server, effect, wallMs: atMs}) =>
+          server === lostServer && effect === 'done' && atMs > lostAtMs + 1_000,
+      );
+      expect(servedAgain.length).toBeGreaterThan(0);
+    },
+    TEST_TIMEOUT_MS,
+  );
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,6 +3,8 @@
 
 const root = (path: string) => fileURLToPath(new URL(path, import.meta.url));
 
+const FAILURES = 'testing/demo/test/failures/*.test.ts';
+
 export default defineConfig({
   resolve: {
     alias: [
@@ -17,9 +19,33 @@
     ],
   },
   test: {
-    include: ['packages/*/test/**/*.test.ts', 'testing/*/test/**/*.test.ts'],
     testTimeout: 20_000,
     hookTimeout: 20_000,
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: 'parts',
+          include: [
+            'packages/*/test/**/*.test.ts',
+            'testing/*/test/**/*.test.ts',
+          ],
+          exclude: [FAILURES],
+          sequence: {groupOrder: 0},
+        },
+      },
+      {
+        extends: true,
+        test: {
+          name: 'failures',
+          include: [FAILURES],
+          // Each file runs a cluster of about eight processes, whose time
+          // bounds a busy machine would break.
+          maxWorkers: 4,
+          sequence: {groupOrder: 1},
+        },
+      },
+    ],
     reporters: ['default', ['json', {outputFile: 'test-results.json'}]],
   },
 });
