Separate dispatcher changes from moves at servers that do not check

Cause: a new assigner waited 2 s and the longest deadline before its first permission, though requests that a former dispatcher left at the same server are no second owner. Permissions also ended in a log outage with policy hold. Ruled out: a time limit alone for policy hold, because a partitioned assigner renews without the log. Calling the entry VMs of all zones, because one silent zone would stop the others; an assigner from another zone needs a log read instead, and its successor waits for the end of that authority. Change: a dispatcher is replaced when its permission has ended. Moves to another server wait for the longest deadline as well. With policy hold a new assigner calls all entry VMs of the zone that peers or VM list show, and appoints after they answered, were removed or were restarted. A drain is sent only to a VM whose row is in a published table: it would otherwise confirm at once and then send.

--- a/packages/core/src/core/ownership/assigner-types.ts
+++ b/packages/core/src/core/ownership/assigner-types.ts
@@ -62,6 +62,11 @@
    * granted anything. True by default.
    */
   readonly hasPredecessor?: boolean;
+  /**
+   * Own monotonic time from which no VM of another zone held the zone's term;
+   * -Infinity when none ever did. `termAcknowledgedAtMs` by default.
+   */
+  readonly foreignTermEndedAtMs?: number;
   /**
    * Longest request deadline of a service in milliseconds. It bounds how long
    * a server that does not check grants may run a request of a lost
@@ -77,6 +82,13 @@
   readonly state: RouterState;
   /** Live entry VMs of the assigner's zone, this one included. */
   readonly entries: readonly EntryVm[];
+  /**
+   * Entry VMs of the zone that may hold a permission of a former assigner,
+   * live or silent; null while they are not known.
+   */
+  readonly knownEntries: readonly string[] | null;
+  /** Entry VMs that the VM list has removed. */
+  readonly removedEntries: ReadonlySet<string>;
   /** Servers that the VM list has removed. */
   readonly removedServers: ReadonlySet<string>;
   readonly logAvailable: boolean;
--- a/packages/core/src/core/ownership/assigner.ts
+++ b/packages/core/src/core/ownership/assigner.ts
@@ -2,6 +2,7 @@
 import type {
   Grant,
   LeaseRequest,
+  Server,
   ServerLoad,
   ServerStatus,
   ShardChange,
@@ -35,8 +36,16 @@
   type Move,
   type PlacedShard,
   type ServerCapacity,
+  type ShardId,
 } from './placement.js';
-import {createSlot, dispatcherOf, type ServerSlot} from './server-slot.js';
+import {EntryFence} from './entry-fence.js';
+import {
+  createSlot,
+  dispatcherOf,
+  noteFenceInForce,
+  sameFence,
+  type ServerSlot,
+} from './server-slot.js';
 import {ShardIndex, type OwnedShard} from './shard-index.js';
 
 /** Interval between lease calls while a server finishes a shard's requests. */
@@ -88,6 +97,7 @@
   private readonly permissions = new LeaseLedger();
   private readonly moves = new MoveTable();
   private readonly dispatch: DispatchPlan;
+  private readonly entryFence: EntryFence;
   private readonly hotKeys = new HotKeyWatch();
   private readonly loads = new Map<string, ServerLoad>();
   private freshLoads = new Map<string, ServerLoad>();
@@ -110,6 +120,7 @@
     this.zone = options.zone;
     this.term = options.term;
     this.dispatch = new DispatchPlan(options.zone, options.term);
+    this.entryFence = new EntryFence(options.term);
     this.longestDeadlineMs =
       options.longestDeadlineMs ?? (() => MAX_DEADLINE_MS);
   }
@@ -239,9 +250,11 @@
       clockMs: msg.clockMs,
       receivedAtMs,
     });
+    this.entryFence.noteAck(msg.server, vm);
     const d = slot.dispatch;
     if (d.kind !== 'active' || d.vm !== vm || slot.server.checksGrants) return;
-    slot.dispatch = {...d, acked: true};
+    // An answer to a call before the appointment does not concern this fence.
+    if (slot.permissionSentAtMs > -Infinity) noteFenceInForce(slot);
   }
 
   /**
@@ -315,12 +328,23 @@
       : (this.logLostAtMs ?? view.nowMs);
     for (const server of view.index.servers.values()) {
       if (server.zone !== this.zone) continue;
-      const slot = this.slots.get(server.id);
-      if (slot) slot.server = server;
-      else this.slots.set(server.id, createSlot(server));
+      const slot = this.slots.get(server.id) ?? this.createSlot(server);
+      slot.server = server;
+      // Requests that started under an earlier bundle keep their deadline.
+      slot.longestDeadlineMs = Math.max(
+        slot.longestDeadlineMs,
+        this.longestDeadlineMs(server.service),
+      );
     }
   }
 
+  private createSlot(server: Server): ServerSlot {
+    const first = this.options.hasPredecessor === false;
+    const slot = createSlot(server, first ? -Infinity : Infinity);
+    this.slots.set(server.id, slot);
+    return slot;
+  }
+
   /** Whether the server is listed and not known to be gone. */
   private isPresent(view: View, id: string): boolean {
     return (
@@ -379,7 +403,7 @@
     const listed = view.index.servers.has(id);
     if (listed && this.ledger.get(id).consecutiveFailures === 0) return false;
     if (slot && !slot.server.checksGrants) {
-      return !dispatcherOf(slot) && view.nowMs >= this.idleFromMs(slot);
+      return !dispatcherOf(slot) && view.nowMs >= slot.quietFromMs;
     }
     return (
       this.ledger.hasExpired(id, view.nowMs) &&
@@ -403,13 +427,44 @@
     );
   }
 
-  /** Time from which nothing runs on a server that does not check. */
-  private idleFromMs(slot: ServerSlot): number {
-    if (slot.dispatch.kind === 'waiting') return slot.dispatch.untilMs;
-    if (this.options.hasPredecessor === false) return -Infinity;
-    return (
-      this.formerAuthorityEndMs() + this.longestDeadlineMs(slot.server.service)
-    );
+  /**
+   * Finds out when no former assigner can let a dispatcher send to a server
+   * that does not check, and calls the entry VMs as far as this needs them.
+   */
+  private *fenceFormer(
+    view: View,
+    slot: ServerSlot,
+  ): Generator<AssignerCommand> {
+    if (slot.server.checksGrants || slot.quietFromMs < Infinity) return;
+    const leftoverMs = certainExpiryMs(slot.longestDeadlineMs);
+    if (view.index.lapseServices.has(slot.server.service)) {
+      if (view.nowMs < this.formerAuthorityEndMs()) return;
+      slot.quietFromMs = this.formerAuthorityEndMs() + leftoverMs;
+    } else {
+      const holders = this.possibleHolders(view);
+      if (holders) yield* this.entryFence.send(slot.id, holders, view.nowMs);
+      if (!holders || !this.entryFence.isComplete(slot.id, holders)) return;
+      if (view.nowMs < this.foreignAuthorityEndMs()) return;
+      slot.quietFromMs = view.nowMs + leftoverMs;
+    }
+    slot.dispatch = {kind: 'waiting', untilMs: view.nowMs};
+  }
+
+  /** Entry VMs that may hold a permission; null while they are not known. */
+  private possibleHolders(view: View): string[] | null {
+    if (!view.knownEntries) return null;
+    const all = new Set([...view.knownEntries, ...view.entries.map(e => e.vm)]);
+    return [...all].filter(vm => !view.removedEntries.has(vm));
+  }
+
+  /**
+   * A VM of another zone that held the term gave permissions to entry VMs that
+   * this one does not call, but needed a log read for them.
+   */
+  private foreignAuthorityEndMs(): number {
+    const {foreignTermEndedAtMs, termAcknowledgedAtMs} = this.options;
+    const endedAtMs = foreignTermEndedAtMs ?? termAcknowledgedAtMs;
+    return endedAtMs + TERM_CONFIRM_MS + certainExpiryMs();
   }
 
   // Dispatchers.
@@ -421,24 +476,25 @@
     );
     for (const slot of this.slots.values()) {
       const before = dispatcherOf(slot);
+      const lostUntilMs = this.permissionEndMs(slot);
+      if (!slot.server.checksGrants && slot.dispatch.kind === 'none') {
+        slot.dispatch = {kind: 'waiting', untilMs: slot.quietFromMs};
+      }
+      yield* this.fenceFormer(view, slot);
       if (!this.isPresent(view, slot.id)) {
-        slot.dispatch = slot.server.checksGrants
-          ? {kind: 'none'}
-          : !before
-            ? slot.dispatch
-            : {kind: 'waiting', untilMs: this.lostDispatcherWaitMs(view, slot)};
+        this.endDispatch(slot, lostUntilMs);
         continue;
       }
-      if (!slot.server.checksGrants && slot.dispatch.kind === 'none') {
-        slot.dispatch = {kind: 'waiting', untilMs: this.idleFromMs(slot)};
-      }
       yield* this.dispatch.advance(
         slot,
         view.entries,
         view.nowMs,
-        this.lostDispatcherWaitMs(view, slot),
+        lostUntilMs,
         !changing,
       );
+      if (before && slot.dispatch.kind === 'waiting') {
+        this.noteLeftRequests(slot, lostUntilMs);
+      }
       changing ||= slot.dispatch.kind === 'stopping';
       const after = dispatcherOf(slot);
       if (after && after.vm !== before?.vm) {
@@ -462,13 +518,28 @@
     };
   }
 
-  private lostDispatcherWaitMs(view: View, slot: ServerSlot): number {
+  /** Ends the dispatching for a server that is gone or not listed. */
+  private endDispatch(slot: ServerSlot, lostUntilMs: number): void {
+    if (slot.server.checksGrants) slot.dispatch = {kind: 'none'};
+    if (slot.server.checksGrants || !dispatcherOf(slot)) return;
+    slot.dispatch = {kind: 'waiting', untilMs: lostUntilMs};
+    this.noteLeftRequests(slot, lostUntilMs);
+  }
+
+  /** Time from which the present dispatcher's permission has expired. */
+  private permissionEndMs(slot: ServerSlot): number {
     const d = dispatcherOf(slot);
-    if (!d) return view.nowMs;
+    if (!d) return -Infinity;
     const holder = permissionHolder(d.vm, slot.id);
-    const expiredAtMs =
-      this.permissions.get(holder).certainlyExpiredAtMs ?? -Infinity;
-    return expiredAtMs + this.longestDeadlineMs(slot.server.service);
+    return this.permissions.get(holder).certainlyExpiredAtMs ?? -Infinity;
+  }
+
+  /** A lost dispatcher's requests may run until their deadlines. */
+  private noteLeftRequests(slot: ServerSlot, lostUntilMs: number): void {
+    slot.quietFromMs = Math.max(
+      slot.quietFromMs,
+      lostUntilMs + certainExpiryMs(slot.longestDeadlineMs),
+    );
   }
 
   // Moves.
@@ -530,12 +601,15 @@
       }
       if (move.stage !== 'dispatcher') continue;
       const slot = this.slots.get(move.from!)!;
-      const to = dispatcherOf(slot)?.vm ?? null;
-      if (to === null) {
+      const d = dispatcherOf(slot);
+      if (d === null) {
         if (this.maySkipDispatcher(view, slot))
           this.leaveDispatcher(slot, move);
         continue;
       }
+      // A VM that does not know yet that it dispatches would confirm at once.
+      if (!sameFence(slot.publishedFence, d.fence)) continue;
+      const to = d.vm;
       const due = view.nowMs >= move.drainSentAtMs + DRAIN_RESEND_MS;
       if (to === move.drainTo && !due) continue;
       move.drainTo = to;
@@ -551,7 +625,7 @@
   }
 
   private maySkipDispatcher(view: View, slot: ServerSlot): boolean {
-    return slot.server.checksGrants || view.nowMs >= this.idleFromMs(slot);
+    return slot.server.checksGrants || view.nowMs >= slot.quietFromMs;
   }
 
   private abandonCause(view: View, move: MoveInFlight): string | null {
@@ -560,6 +634,7 @@
     if (slot.server.checksGrants && !this.isAnswering(slot)) {
       return 'source-silent';
     }
+    if (!this.isQuiet(view, slot)) return 'dispatcher-lost';
     if (!this.mayTakeShards(view, move.to)) return 'target-lost';
     const outageMs = view.nowMs - (this.logLostAtMs ?? view.nowMs);
     if (move.stage === 'ready' && outageMs >= LOG_OUTAGE_GIVE_BACK_MS) {
@@ -577,9 +652,8 @@
   /** Proof a: the server holds a lease without the shard and is idle for it. */
   private noteLeaseAck(slot: ServerSlot, lease: LeaseRequest): void {
     slot.fenced = true;
-    const d = slot.dispatch;
-    if (d.kind === 'active' && sameFence(d.fence, lease.fence)) {
-      slot.dispatch = {...d, acked: true};
+    if (sameFence(dispatcherOf(slot)?.fence ?? null, lease.fence)) {
+      noteFenceInForce(slot);
     }
     const busy = new Set(slot.status!.busy.map(shardKey));
     for (const move of this.moves.list()) {
@@ -648,7 +722,7 @@
     for (const [server, shards] of view.index.byServer) {
       const slot = this.slots.get(server);
       if (slot && this.isLostBehindDispatcher(view, slot)) {
-        this.planDrainOfLost(view, shards);
+        if (this.isQuiet(view, slot)) this.planDrainOfLost(view, shards);
       } else if (this.isProvenStopped(view, server)) {
         const stopped = view.index.stopped.has(server);
         this.placeFree(view, shards, stopped ? 'stopped' : 'server-lost');
@@ -799,10 +873,28 @@
    * dispatcher's answer to an abandoned drain must not count for a later one.
    */
   private mayDrain(view: View, owned: OwnedShard): boolean {
-    const checks = this.slots.get(owned.server!)?.server.checksGrants;
-    return checks
-      ? this.moves.get(owned) === undefined
-      : this.moves.mayMove(owned, view.nowMs);
+    const slot = this.slots.get(owned.server!);
+    if (slot?.server.checksGrants) return this.moves.get(owned) === undefined;
+    return (
+      slot !== undefined &&
+      this.isQuiet(view, slot) &&
+      this.moves.mayMove(owned, view.nowMs)
+    );
+  }
+
+  /** Whether no request of a lost dispatcher can be running at the server. */
+  private isQuiet(view: View, slot: ServerSlot): boolean {
+    return slot.server.checksGrants || view.nowMs >= slot.quietFromMs;
+  }
+
+  private mayBalance(view: View, id: ShardId): boolean {
+    const row = view.state.services.get(id.service)?.rows[id.shard];
+    const slot = this.slots.get(row?.server ?? '');
+    return (
+      slot !== undefined &&
+      this.isQuiet(view, slot) &&
+      this.moves.mayMove(id, view.nowMs)
+    );
   }
 
   /** Whether the owner of a shard can take part in a planned move. */
@@ -825,7 +917,7 @@
       const move: Move | null = planBalanceMove(
         this.placed(view, service),
         this.targets(view, service),
-        id => this.moves.mayMove(id, view.nowMs),
+        id => this.mayBalance(view, id),
       );
       if (move) this.moves.add(move, view.index.epochOf(move)!, 'dispatcher');
     }
@@ -915,9 +1007,11 @@
   /** Whether the term's authority suffices for a lease of the server now. */
   private mayGrant(view: View, slot: ServerSlot): boolean {
     const {termConfirmedAtMs, nowMs} = view;
+    const foreign = view.state.terms.get(this.zone)?.holderZone !== this.zone;
     const limited =
-      !slot.server.checksGrants ||
-      view.index.lapseServices.has(slot.server.service);
+      view.index.lapseServices.has(slot.server.service) ||
+      // The next assigner does not call the entry VMs of other zones.
+      (foreign && !slot.server.checksGrants);
     if (limited && nowMs - termConfirmedAtMs > TERM_CONFIRM_MS) return false;
     // A restarted server has forgotten a newer term that may have moved its
     // shards, so this term must be confirmed after the restart was seen.
@@ -1021,13 +1115,6 @@
   return `${vm}>${server}`;
 }
 
-function sameFence(
-  a: {readonly term: number; readonly seq: number},
-  b: {readonly term: number; readonly seq: number},
-): boolean {
-  return a.term === b.term && a.seq === b.seq;
-}
-
 function moveFields(move: MoveInFlight): Record<string, string | number> {
   return {
     service: move.service,
--- a/packages/core/src/core/ownership/dispatch-plan.ts
+++ b/packages/core/src/core/ownership/dispatch-plan.ts
@@ -50,7 +50,7 @@
    * @param entries - Live entry VMs.
    * @param nowMs - Own monotonic time.
    * @param lostWaitUntilMs - For a server that does not check: time until
-   * which a lost dispatcher may still have requests running.
+   * which a lost dispatcher may still start requests.
    * @param mayRebalance - Whether no other planned change is in progress.
    * @returns Commands to the dispatcher.
    */
@@ -127,6 +127,7 @@
     const rows: DispatchRow[] = [];
     for (const slot of slots) {
       const d = dispatcherOf(slot);
+      slot.publishedFence = d?.acked ? d.fence : null;
       if (!d?.acked) continue;
       rows.push({
         server: slot.id,
@@ -179,6 +180,7 @@
 
   private appoint(slot: ServerSlot, vm: string): void {
     const fence: Fence = {term: this.term, seq: this.nextSeq++};
+    slot.permissionSentAtMs = -Infinity;
     slot.dispatch = {kind: 'active', vm, fence, acked: false};
   }
 
--- a/packages/core/src/core/ownership/server-slot.ts
+++ b/packages/core/src/core/ownership/server-slot.ts
@@ -4,7 +4,10 @@
 /** Who dispatches for a server. */
 export type DispatchState =
   | {readonly kind: 'none'}
-  /** A server that does not check: nobody may send before `untilMs`. */
+  /**
+   * A server that does not check: nobody may send before `untilMs`, which is
+   * Infinity while a former assigner may still grant.
+   */
   | {readonly kind: 'waiting'; readonly untilMs: number}
   | {
       readonly kind: 'active';
@@ -42,15 +45,30 @@
   needsProbe: boolean;
   dispatch: DispatchState;
   permissionSentAtMs: number;
+  /**
+   * For a server that does not check: own time from which it runs no request
+   * of an earlier dispatcher. Infinity while a former assigner may still grant.
+   */
+  quietFromMs: number;
+  /** Longest deadline of the service that this term has seen. */
+  longestDeadlineMs: number;
+  /** Fence of the last dispatcher that this term saw in force, else null. */
+  fenceInForce: Fence | null;
+  /** Fence before `fenceInForce`, null when unknown. */
+  replacedFence: Fence | null;
+  /** Fence in the latest published table, null when there is none. */
+  publishedFence: Fence | null;
 }
 
 /**
  * Builds the state of a server that was not called yet.
  *
  * @param server - Server of the bundle.
+ * @param quietFromMs - Own time from which no request of a dispatcher of a
+ * former term can be running, Infinity when not known yet.
  * @returns Fresh state.
  */
-export function createSlot(server: Server): ServerSlot {
+export function createSlot(server: Server, quietFromMs: number): ServerSlot {
   return {
     id: server.id,
     server,
@@ -64,9 +82,42 @@
     needsProbe: false,
     dispatch: {kind: 'none'},
     permissionSentAtMs: -Infinity,
+    quietFromMs,
+    longestDeadlineMs: 0,
+    fenceInForce: null,
+    replacedFence: null,
+    publishedFence: null,
   };
 }
 
+/**
+ * Compares two fences.
+ *
+ * @param a - First fence.
+ * @param b - Second fence.
+ * @returns True when both are the same.
+ */
+export function sameFence(a: Fence | null, b: Fence | null): boolean {
+  if (a === null || b === null) return a === b;
+  return a.term === b.term && a.seq === b.seq;
+}
+
+/**
+ * Notes that the present dispatcher's fence is in force. A fence that was
+ * replaced before this is in no table, so nobody has sent requests under it
+ * and it does not count as one in between.
+ *
+ * @param slot - State of the server, which is changed.
+ */
+export function noteFenceInForce(slot: ServerSlot): void {
+  const d = slot.dispatch;
+  if (d.kind !== 'active' && d.kind !== 'stopping') return;
+  slot.dispatch = {...d, acked: true};
+  if (sameFence(slot.fenceInForce, d.fence)) return;
+  slot.replacedFence = slot.fenceInForce;
+  slot.fenceInForce = d.fence;
+}
+
 /**
  * Dispatcher of a server, whether or not it is being replaced.
  *
--- /dev/null
+++ b/packages/core/test/ownership/bench.ts
@@ -0,0 +1,154 @@
+/** Bench for the assigner with servers and entry VMs that answer at once. */
+import {
+  Assigner,
+  type AssignerCommand,
+  type AssignerOptions,
+  type Bundle,
+  type EntryVm,
+  type ServerStatus,
+} from '@wisteriarun/core';
+import {TestLog, makeBundle, type BundleOptions} from './fold.js';
+
+export type Of<K extends AssignerCommand['kind']> = Extract<
+  AssignerCommand,
+  {kind: K}
+>;
+
+export const entry = (vm: string, draining = false): EntryVm => ({
+  vm,
+  capacity: 1,
+  draining,
+});
+
+/** Permission answers of entry VMs whose clocks are this far ahead. */
+export const ENTRY_CLOCK_AHEAD_MS = 5_000;
+
+/** Drives an assigner by hand; servers answer at once unless silenced. */
+export class Bench {
+  readonly log = new TestLog();
+  readonly assigner: Assigner;
+  readonly silent = new Set<string>();
+  readonly boots = new Map<string, string>();
+  readonly statuses = new Map<string, Partial<ServerStatus>>();
+  readonly seen: AssignerCommand[] = [];
+  nowMs = 0;
+  logAvailable = true;
+  confirms = true;
+  confirmedAtMs = 0;
+  appends = true;
+  entries: EntryVm[] = [entry('a'), entry('b')];
+  known: string[] | null = ['a', 'b'];
+  removed = new Set<string>();
+  /** Entry VMs that answer permissions. */
+  answering = new Set(['a', 'b']);
+
+  constructor(
+    bundle: Bundle,
+    hasPredecessor = false,
+    options: Partial<AssignerOptions> = {},
+    authorZone = 'z1',
+  ) {
+    this.log.append({kind: 'bundle', body: bundle});
+    const term = this.log.append({
+      kind: 'term',
+      author: 'a',
+      zone: 'z1',
+      authorZone,
+      baseTerm: 0,
+    });
+    this.assigner = new Assigner({
+      vm: 'a',
+      zone: 'z1',
+      term,
+      termAcknowledgedAtMs: 0,
+      nowMs: 0,
+      hasPredecessor,
+      foreignTermEndedAtMs: -Infinity,
+      longestDeadlineMs: () => 10_000,
+      ...options,
+    });
+  }
+
+  /** Steps every 10 ms and returns the commands of the period. */
+  run(durationMs: number): AssignerCommand[] {
+    const from = this.seen.length;
+    for (let end = this.nowMs + durationMs; this.nowMs < end;) {
+      this.nowMs += 10;
+      if (this.confirms) this.confirmedAtMs = this.nowMs;
+      const commands = this.assigner.step({
+        nowMs: this.nowMs,
+        wallMs: this.nowMs,
+        state: this.log.latest,
+        entries: this.entries,
+        knownEntries: this.known,
+        removedEntries: this.removed,
+        removedServers: new Set(),
+        logAvailable: this.logAvailable,
+        termConfirmedAtMs: this.confirmedAtMs,
+      });
+      for (const command of commands) {
+        this.seen.push(command);
+        this.answer(command);
+      }
+    }
+    return this.seen.slice(from);
+  }
+
+  /** Lets an entry VM answer a permission now. */
+  acknowledge({to: vm, message}: Of<'permission'>): void {
+    const {server, term} = message;
+    const clockMs = this.nowMs + ENTRY_CLOCK_AHEAD_MS;
+    const kind = 'permission-ack';
+    const receivedAtMs = this.nowMs;
+    const msg = {kind, server, term, clockMs, busy: []} as const;
+    this.assigner.onPermissionAck({vm, receivedAtMs, msg: {...msg, busy: []}});
+  }
+
+  private answer(command: AssignerCommand): void {
+    if (command.kind === 'append' && this.appends) {
+      const offset = this.log.append(command.record);
+      const accepted = this.log.accepted[offset - 1]!;
+      this.assigner.onAppendResult({recordId: 'r', accepted});
+    }
+    if (command.kind === 'permission' && this.answering.has(command.to)) {
+      this.acknowledge(command);
+    }
+    if (command.kind !== 'lease' && command.kind !== 'probe') return;
+    const {server} = command;
+    if (this.silent.has(server)) {
+      this.assigner.onServerFailure({server, nowMs: this.nowMs});
+      return;
+    }
+    const lease = command.kind === 'lease' ? command.request : null;
+    const status: ServerStatus = {
+      bootId: this.boots.get(server) ?? '1',
+      clockMs: this.nowMs,
+      term: lease?.term ?? 0,
+      fence: lease?.fence ?? null,
+      dispatcher: lease?.dispatcher ?? null,
+      busy: [],
+      inFlight: 0,
+      load: 0,
+      draining: false,
+      ...this.statuses.get(server),
+    };
+    const receivedAtMs = this.nowMs;
+    const sentLease = lease;
+    this.assigner.onServerStatus({server, receivedAtMs, status, sentLease});
+  }
+}
+
+export function pick<K extends AssignerCommand['kind']>(
+  commands: readonly AssignerCommand[],
+  kind: K,
+): Of<K>[] {
+  return commands.filter((c): c is Of<K> => c.kind === kind);
+}
+
+export const two = (options: Partial<BundleOptions> = {}) =>
+  makeBundle({servers: [{id: 's1', batch: 'b1'}, {id: 's2'}], ...options});
+
+export const dispatcherOf = (bench: Bench, server: string) =>
+  pick(bench.seen, 'dispatch-table')
+    .at(-1)!
+    .table.rows.find(r => r.server === server)?.dispatcher;
--- a/packages/core/test/ownership/fold.ts
+++ b/packages/core/test/ownership/fold.ts
@@ -100,6 +100,7 @@
   }[];
   readonly shards?: number;
   readonly adoption?: 'hold' | 'lapse';
+  readonly longestDeadlineMs?: number;
   readonly leaveAtMs?: number | null;
   readonly stopped?: readonly string[];
   readonly checksGrants?: boolean;
@@ -117,6 +118,7 @@
         id: 'svc',
         shards: options.shards ?? 8,
         adoption: options.adoption ?? 'hold',
+        longestDeadlineMs: options.longestDeadlineMs ?? 10_000,
         maxBodyBytes: 1024,
       },
     ],
--- a/packages/core/test/ownership/model.ts
+++ b/packages/core/test/ownership/model.ts
@@ -153,6 +153,7 @@
   readonly servers = new Map<string, ModelServer>();
   readonly vms: ModelVm[] = [];
   readonly removed = new Set<string>();
+  readonly removedVms = new Set<string>();
   readonly violations: string[] = [];
   logDown = false;
   private order = 0;
@@ -344,6 +345,8 @@
         .filter(v => v.zone === vm.zone)
         .filter(v => v === vm || nowMs - (vm.heardAtMs.get(v.id) ?? 0) < 750)
         .map(v => ({vm: v.id, capacity: 1, draining: v.draining})),
+      knownEntries: this.vms.filter(v => v.zone === 'z1').map(v => v.id),
+      removedEntries: this.removedVms,
       removedServers: this.removed,
       logAvailable: this.canReachLog(vm),
       termConfirmedAtMs: vm.termConfirmedAtMs,
--- a/packages/daemon/src/control/assigner-runner.ts
+++ b/packages/daemon/src/control/assigner-runner.ts
@@ -28,6 +28,10 @@
   term: number;
   termSeenAtMs: number;
   lastRecordAtMs: number | null;
+  /** Zone of the holder; null before the first term was seen. */
+  holderZone: string | null;
+  /** Time from which no VM of another zone held the term. */
+  foreignTermEndedAtMs: number;
 }
 
 /** Holds the terms of this process and executes their assigners' commands. */
@@ -70,7 +74,7 @@
       this.settle(folded);
     }
     for (const [zone, term] of state.terms) {
-      this.followTerm(zone, term, isFirstTerm(zone, folded));
+      this.followTerm(zone, term, baseTermOf(zone, folded));
     }
   }
 
@@ -88,6 +92,8 @@
       term: 0,
       termSeenAtMs: this.ports.clock.monotonicMs(),
       lastRecordAtMs: null,
+      holderZone: null,
+      foreignTermEndedAtMs: -Infinity,
     };
     this.sightings.set(zone, fresh);
     return fresh;
@@ -110,11 +116,23 @@
     this.active.get(zone)?.assigner.onAppendResult({recordId: id, accepted});
   }
 
-  private followTerm(zone: string, current: TermState, first: boolean): void {
+  private followTerm(
+    zone: string,
+    current: TermState,
+    baseTerm: number | null,
+  ): void {
     const sighting = this.sighting(zone);
     if (sighting.term === current.term) return;
+    const nowMs = this.ports.clock.monotonicMs();
+    // A state from a snapshot or a peer may have skipped terms.
+    const gapless = baseTerm === sighting.term;
+    const first = baseTerm === 0;
+    if (!first && !(gapless && sighting.holderZone === zone)) {
+      sighting.foreignTermEndedAtMs = nowMs;
+    }
     sighting.term = current.term;
-    sighting.termSeenAtMs = this.ports.clock.monotonicMs();
+    sighting.holderZone = current.holderZone;
+    sighting.termSeenAtMs = nowMs;
     if (this.active.has(zone)) this.endTerm(zone, current);
     if (current.holder === this.ports.vm) this.startTerm(zone, current, !first);
   }
@@ -132,6 +150,7 @@
       termAcknowledgedAtMs: nowMs,
       nowMs,
       hasPredecessor,
+      foreignTermEndedAtMs: this.sighting(zone).foreignTermEndedAtMs,
       longestDeadlineMs: this.ports.longestDeadlineMs,
     });
     this.active.set(zone, {term, assigner});
@@ -159,6 +178,8 @@
         wallMs: ports.clock.wallMs(),
         state,
         entries: ports.entriesOf(zone),
+        knownEntries: ports.knownEntriesOf(zone),
+        removedEntries: ports.removedEntries(),
         removedServers: ports.removedServers(),
         logAvailable: ports.logAvailable(),
         termConfirmedAtMs: ports.termConfirmedAtMs(),
@@ -254,11 +275,11 @@
   }
 }
 
-/** Whether a record gave a zone its first term. */
-function isFirstTerm(zone: string, folded: FoldedRecord | null): boolean {
-  if (folded?.verdict.kind !== 'accepted') return false;
+/** Term that a record replaced; null when it gave the zone no term. */
+function baseTermOf(zone: string, folded: FoldedRecord | null): number | null {
+  if (folded?.verdict.kind !== 'accepted') return null;
   const {record} = folded.verdict;
-  return (
-    record.kind === 'term' && record.zone === zone && record.baseTerm === 0
-  );
+  return record.kind === 'term' && record.zone === zone
+    ? record.baseTerm
+    : null;
 }
--- a/packages/daemon/src/control/peer-roster.ts
+++ b/packages/daemon/src/control/peer-roster.ts
@@ -70,6 +70,50 @@
       : this.liveIn(self.zone);
   }
 
+  /**
+   * Entry VMs of a zone, live or silent. A listed VM whose process this one has
+   * not met is named by its VM id.
+   *
+   * @param zone - Zone of the VMs.
+   * @returns Ids, or null before the VM list was read.
+   */
+  knownIn(zone: string): readonly string[] | null {
+    const {self, mesh, vmList} = this.options;
+    if (vmList.lastReadMs === null) return null;
+    const peers = mesh.peers().filter(peer => peer.zone === zone);
+    const known = peers.map(({vm}) => vm);
+    if (self.zone === zone) known.push(self.vm);
+    const met = new Set(known.map(vmOf));
+    for (const vm of vmList.vms.values()) {
+      const isEntry = vm.role === 'entry' && vm.zone === zone;
+      if (isEntry && !met.has(vm.id)) known.push(vm.id);
+    }
+    return known;
+  }
+
+  /**
+   * Entry VMs whose processes have certainly ended: the VM list has removed
+   * the VM, or a later process of the VM runs, which has the same ports.
+   *
+   * @returns Instance ids, and VM ids for VMs that were never met.
+   */
+  removed(): ReadonlySet<string> {
+    const {self, mesh, vmList} = this.options;
+    const removed = new Set(vmList.removedIds);
+    const latest = new Map([[vmOf(self.vm), self.vm]]);
+    const byLastHeard = mesh
+      .peers()
+      .sort((a, b) => b.lastHeardMs - a.lastHeardMs);
+    for (const {vm: instance, connected} of byLastHeard) {
+      const vm = vmOf(instance);
+      const successor = latest.get(vm);
+      if (!successor) latest.set(vm, instance);
+      else if (!connected) removed.add(instance);
+      if (vmList.removedIds.has(vm)) removed.add(instance);
+    }
+    return removed;
+  }
+
   /** Other entry VMs of all zones, as elections see them. */
   views(): PeerView[] {
     const nowMs = this.options.clock.monotonicMs();
--- a/packages/daemon/src/control/types.ts
+++ b/packages/daemon/src/control/types.ts
@@ -34,6 +34,10 @@
   readonly entriesOf: (zone: string) => readonly EntryVm[];
   /** Other entry VMs of all zones. */
   readonly sightings: () => readonly PeerView[];
+  /** Entry VMs of a zone, live or silent; null before the VM list was read. */
+  readonly knownEntriesOf: (zone: string) => readonly string[] | null;
+  /** Entry VMs whose processes have certainly ended. */
+  readonly removedEntries: () => ReadonlySet<string>;
   readonly removedServers: () => ReadonlySet<string>;
   readonly lease: (
     server: string,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -366,6 +366,8 @@
       logAvailable: () => log.isAvailable,
       termConfirmedAtMs: () => log.confirmedAtMs,
       entriesOf: zone => roster.entriesOf(zone),
+      knownEntriesOf: zone => roster.knownIn(zone),
+      removedEntries: () => roster.removed(),
       sightings: () => roster.views(),
       removedServers: () => this.vmList.removedIds,
       lease: (server, request) => servers.lease(server, request),
--- /dev/null
+++ b/packages/daemon/test/control.test.ts
@@ -0,0 +1,80 @@
+import {describe, expect, it} from 'vitest';
+import type {PeerMesh, PeerView} from '@wisteriarun/peer';
+import type {VmEntry, VmListWatcher} from '@wisteriarun/vm-list';
+import {PeerRoster} from '../src/control/peer-roster.js';
+
+const peer = (vm: string, overrides: Partial<PeerView> = {}): PeerView => ({
+  vm,
+  zone: 'z1',
+  capacity: 1,
+  relayHost: '127.0.0.1',
+  relayPort: 1,
+  draining: false,
+  offset: 1,
+  lastHeardMs: 0,
+  bootId: vm,
+  connected: true,
+  ...overrides,
+});
+
+function roster(
+  peers: readonly PeerView[],
+  listed: Record<string, Partial<VmEntry>> | null,
+  removed: readonly string[] = [],
+): PeerRoster {
+  const base = {role: 'entry', zone: 'z1', address: 'x:1', state: 'live'};
+  const vms = Object.entries(listed ?? {}).map(
+    ([id, entry]) => [id, {id, ...base, ...entry}] as const,
+  );
+  return new PeerRoster({
+    self: {
+      vm: 'a.1',
+      zone: 'z1',
+      capacity: 1,
+      relayHost: '127.0.0.1',
+      relayPort: 1,
+      draining: () => false,
+    },
+    mesh: {peers: () => [...peers]} as unknown as PeerMesh,
+    vmList: {
+      lastReadMs: listed === null ? null : 1,
+      vms: new Map(vms),
+      removedIds: new Set(removed),
+    } as unknown as VmListWatcher,
+    clock: {monotonicMs: () => 10_000, wallMs: () => 10_000},
+  });
+}
+
+describe('entry VMs that may hold a permission', () => {
+  it('are unknown before the VM list was read', () => {
+    expect(roster([peer('b.1')], null).knownIn('z1')).toBeNull();
+  });
+
+  it('include silent peers and listed VMs that were never met', () => {
+    const silent = peer('b.1', {connected: false});
+    const listed = {
+      a: {},
+      b: {},
+      c: {},
+      d: {zone: 'z2'},
+      s: {role: 'server'},
+    } as const;
+    const known = roster([silent, peer('e.1', {zone: 'z2'})], listed);
+    expect([...known.knownIn('z1')!].sort()).toEqual(['a.1', 'b.1', 'c']);
+    expect([...known.knownIn('z2')!].sort()).toEqual(['d', 'e.1']);
+  });
+
+  it('count as ended once a later process of the VM runs', () => {
+    const old = peer('b.1', {connected: false, lastHeardMs: 5});
+    const before = peer('a.0', {connected: false, lastHeardMs: 9});
+    const later = peer('b.2', {lastHeardMs: 8});
+    expect([...roster([old, before], {}).removed()]).toEqual(['a.0']);
+    const removed = roster([old, later], {}).removed();
+    expect([...removed]).toEqual(['b.1']);
+  });
+
+  it('count as ended once the VM list has removed the VM', () => {
+    const removed = roster([peer('b.1')], {}, ['b']).removed();
+    expect([...removed].sort()).toEqual(['b', 'b.1']);
+  });
+});
