Name the replaced fence in table rows and assign records

Cause: a new dispatcher could not tell whether handed-over attempt records come from the one that held the fence just before, so records with a gap counted. Ruled out: a fence that a server reports to a new assigner as the former one before a lease of the new term is accepted, because the former assigner may have replaced it after the report. The row is null then, and so is the record. Change: a slot keeps the fence in force and the one before. A fence counts when the server, or the dispatcher of a server that does not check, acknowledged it. A fence that was replaced before that is in no table, so nobody sent under it.

--- a/packages/core/src/core/ownership/assigner.ts
+++ b/packages/core/src/core/ownership/assigner.ts
@@ -253,8 +253,9 @@
     this.entryFence.noteAck(msg.server, vm);
     const d = slot.dispatch;
     if (d.kind !== 'active' || d.vm !== vm || slot.server.checksGrants) return;
-    // An answer to a call before the appointment does not concern this fence.
-    if (slot.permissionSentAtMs > -Infinity) noteFenceInForce(slot);
+    // The answer may be to an earlier call. The VM then refuses requests until
+    // the permission with this fence arrives.
+    noteFenceInForce(slot);
   }
 
   /**
@@ -946,7 +947,7 @@
       shard: m.shard,
       server: m.to,
       reason: m.reason,
-      formerFence: null,
+      formerFence: this.slots.get(m.from ?? '')?.fenceInForce ?? null,
     }));
     return {
       kind: 'assign',
--- a/packages/core/src/core/ownership/dispatch-plan.ts
+++ b/packages/core/src/core/ownership/dispatch-plan.ts
@@ -2,7 +2,7 @@
 import type {DispatchRow, Fence} from '../../types/index.js';
 import type {AssignerCommand, PeerMessageOf} from './assigner-types.js';
 import {chooseDispatcher, type EntryVm} from './dispatcher-choice.js';
-import {dispatcherOf, type ServerSlot} from './server-slot.js';
+import {dispatcherOf, sameFence, type ServerSlot} from './server-slot.js';
 
 /** Interval at which an unanswered stop is sent again. */
 const STOP_RESEND_MS = 1_000;
@@ -129,11 +129,12 @@
       const d = dispatcherOf(slot);
       slot.publishedFence = d?.acked ? d.fence : null;
       if (!d?.acked) continue;
+      const inForce = sameFence(d.fence, slot.fenceInForce);
       rows.push({
         server: slot.id,
         dispatcher: d.vm,
         fence: d.fence,
-        replaces: null,
+        replaces: inForce ? slot.replacedFence : null,
       });
     }
     const readers = entries.map(e => e.vm).sort();
@@ -180,7 +181,6 @@
 
   private appoint(slot: ServerSlot, vm: string): void {
     const fence: Fence = {term: this.term, seq: this.nextSeq++};
-    slot.permissionSentAtMs = -Infinity;
     slot.dispatch = {kind: 'active', vm, fence, acked: false};
   }
 
