Split the assigner into modules with one job each

Ruled out: functions over one large state object, because the order in which the parts may change a move or a slot would then be stated nowhere. Change: the state of a term, the servers' condition, proofs, permissions of former terms, dispatchers, drains, planning, leaving batches, hot keys, records and renewals are modules of their own; assigner.ts takes inputs and orders the steps. No behaviour change.

--- /dev/null
+++ b/packages/core/src/core/ownership/assigner/drains.ts
@@ -0,0 +1,181 @@
+/** Takes planned moves to the point where a record is due. */
+import type {LeaseRequest} from '../../../types/index.js';
+import type {AssignerCommand, PeerMessageOf} from '../assigner-types.js';
+import type {MoveInFlight} from '../move-table.js';
+import {shardKey} from '../placement.js';
+import {dispatcherOf, sameFence, type ServerSlot} from '../server-slot.js';
+import type {Proofs} from './proofs.js';
+import type {Servers} from './servers.js';
+import type {AssignerState, View} from './state.js';
+
+/** Interval at which an unanswered drain is sent again. */
+const DRAIN_RESEND_MS = 1_000;
+/** Log outage after which drained shards go back to their owner. */
+const LOG_OUTAGE_GIVE_BACK_MS = 1_000;
+
+/** Drains shards at dispatchers and servers, and gives moves up. */
+export class Drains {
+  /**
+   * @param state - State of the term.
+   * @param servers - Condition of the servers.
+   * @param proofs - Proofs of stopped owners.
+   */
+  constructor(
+    private readonly state: AssignerState,
+    private readonly servers: Servers,
+    private readonly proofs: Proofs,
+  ) {}
+
+  /**
+   * Notes that a dispatcher has nothing in flight for drained shards.
+   *
+   * @param message - Confirmation.
+   * @param from - VM that sent it; others than the drained one are ignored.
+   */
+  noteDrained(message: PeerMessageOf<'shard-drained'>, from?: string): void {
+    const slot = this.state.slots.get(message.server);
+    if (!slot || message.term !== this.state.term) return;
+    const {service, server} = message;
+    for (const shard of message.shards) {
+      const move = this.state.moves.get({service, shard});
+      if (move?.from !== server || move.stage !== 'dispatcher') continue;
+      if (from !== undefined && from !== move.drainTo) continue;
+      if (move.drainTo === dispatcherOf(slot)?.vm) leaveDispatcher(slot, move);
+    }
+  }
+
+  /**
+   * Proof a: the server holds a lease without the shard and is idle for it.
+   *
+   * @param slot - Server with its latest status.
+   * @param lease - Lease that it acknowledged.
+   */
+  noteLeaseAck(slot: ServerSlot, lease: LeaseRequest): void {
+    const busy = new Set(slot.status!.busy.map(shardKey));
+    for (const move of this.state.moves.list()) {
+      if (move.from !== slot.id || move.stage !== 'server') continue;
+      if ((lease.seq ?? 0) < move.minSeq || busy.has(shardKey(move))) continue;
+      move.stage = 'ready';
+    }
+  }
+
+  /**
+   * Advances planned moves up to the point where a record is due.
+   *
+   * @param view - Inputs of the step.
+   * @returns Drains that are due, and the ends of moves that were given up.
+   */
+  *advance(view: View): Generator<AssignerCommand> {
+    const due = new Map<string, MoveInFlight[]>();
+    for (const move of this.state.moves.list()) {
+      if (!move.planned || move.stage === 'append') continue;
+      const cause = this.abandonCause(view, move);
+      if (cause !== null) yield* this.abandon(view, move, cause);
+      else if (move.stage === 'dispatcher') this.advanceMove(view, move, due);
+    }
+    for (const group of due.values()) {
+      yield this.drainCommand(group[0]!.drainTo!, group, true);
+    }
+  }
+
+  /**
+   * Gives a move up and lets its dispatcher resume.
+   *
+   * @param view - Inputs of the step.
+   * @param move - The move.
+   * @param cause - Cause for the timeline.
+   * @returns The end of the drain, and an event.
+   */
+  *abandon(
+    view: View,
+    move: MoveInFlight,
+    cause: string,
+  ): Generator<AssignerCommand> {
+    this.state.moves.remove(move, view.nowMs);
+    if (move.drainTo !== null) {
+      yield this.drainCommand(move.drainTo, [move], false);
+    }
+    const {term} = this.state;
+    const fields = moveFields(move);
+    yield {kind: 'event', event: {kind: 'move-abandoned', term, cause, fields}};
+  }
+
+  private advanceMove(
+    view: View,
+    move: MoveInFlight,
+    due: Map<string, MoveInFlight[]>,
+  ): void {
+    const slot = this.state.slots.get(move.from!)!;
+    const d = dispatcherOf(slot);
+    if (d === null) {
+      if (this.proofs.isQuiet(view, slot)) leaveDispatcher(slot, move);
+      return;
+    }
+    // A VM that does not know yet that it dispatches would confirm at once.
+    if (!sameFence(slot.publishedFence, d.fence)) return;
+    const resend = view.nowMs >= move.drainSentAtMs + DRAIN_RESEND_MS;
+    if (d.vm === move.drainTo && !resend) return;
+    move.drainTo = d.vm;
+    move.drainSentAtMs = view.nowMs;
+    const group = `${d.vm} ${move.from} ${move.service} ${move.to}`;
+    const list = due.get(group);
+    if (list) list.push(move);
+    else due.set(group, [move]);
+  }
+
+  private abandonCause(view: View, move: MoveInFlight): string | null {
+    const slot = this.state.slots.get(move.from!);
+    if (!slot || !this.servers.isPresent(view, slot.id)) return 'source-gone';
+    if (slot.server.checksGrants && !this.servers.isAnswering(slot)) {
+      return 'source-silent';
+    }
+    if (!this.proofs.isQuiet(view, slot)) return 'dispatcher-lost';
+    if (!this.servers.mayTakeShards(view, move.to)) return 'target-lost';
+    const outageMs = view.nowMs - (this.state.logLostAtMs ?? view.nowMs);
+    if (move.stage === 'ready' && outageMs >= LOG_OUTAGE_GIVE_BACK_MS) {
+      return 'log-unavailable';
+    }
+    return null;
+  }
+
+  private drainCommand(
+    to: string,
+    moves: readonly MoveInFlight[],
+    drain: boolean,
+  ): AssignerCommand {
+    const {service, from, to: target} = moves[0]!;
+    const next = this.state.slots.get(target);
+    return {
+      kind: 'shard-drain',
+      to,
+      message: {
+        kind: 'shard-drain',
+        term: this.state.term,
+        server: from!,
+        service,
+        shards: moves.map(m => m.shard),
+        next: (next && dispatcherOf(next)?.vm) ?? null,
+        drain,
+      },
+    };
+  }
+}
+
+/**
+ * Fields of a move for the timeline.
+ *
+ * @param move - The move.
+ * @returns Service, shard and both servers.
+ */
+export function moveFields(
+  move: MoveInFlight,
+): Record<string, string | number> {
+  const {service, shard, from, to} = move;
+  return {service, shard, from: from ?? '', to};
+}
+
+/** The dispatcher is drained; the server's own check follows. */
+function leaveDispatcher(slot: ServerSlot, move: MoveInFlight): void {
+  move.stage = slot.server.checksGrants ? 'server' : 'ready';
+  move.minSeq = slot.seq + 1;
+}
--- /dev/null
+++ b/packages/core/src/core/ownership/assigner/records.ts
@@ -0,0 +1,121 @@
+/** Appends the assigner's records, one at a time, and follows their fate. */
+import type {ShardChange} from '../../../types/index.js';
+import type {AppendDraft, AssignerCommand} from '../assigner-types.js';
+import type {MoveInFlight} from '../move-table.js';
+import {moveFields, type Drains} from './drains.js';
+import type {HotShards} from './hot-shards.js';
+import type {AssignerState, View} from './state.js';
+
+/** Shards of a record with their epochs before it. */
+type PendingAppend = readonly {
+  readonly service: string;
+  readonly shard: number;
+  readonly baseEpoch: number;
+}[];
+
+/** Author of the records of one term. */
+export class Records {
+  private pending: PendingAppend | null = null;
+  private rejected: PendingAppend | null = null;
+
+  /**
+   * @param state - State of the term.
+   * @param drains - Gives up the moves of rejected records.
+   * @param hotShards - Keys to isolate.
+   */
+  constructor(
+    private readonly state: AssignerState,
+    private readonly drains: Drains,
+    private readonly hotShards: HotShards,
+  ) {}
+
+  /** Whether a record's fate is open; no other may be appended. */
+  get isPending(): boolean {
+    return this.pending !== null;
+  }
+
+  /**
+   * Notes the fate of the one append that is in flight. An accepted record
+   * takes effect only when it is folded.
+   *
+   * @param accepted - Whether the fold accepted the record.
+   */
+  noteResult(accepted: boolean): void {
+    if (accepted || !this.pending) return;
+    this.rejected = this.pending;
+    this.pending = null;
+  }
+
+  /**
+   * Ends the moves whose records were folded or rejected.
+   *
+   * @param view - Inputs of the step.
+   * @returns Events, and the ends of drains.
+   */
+  *settle(view: View): Generator<AssignerCommand> {
+    for (const shard of this.rejected ?? []) {
+      const move = this.state.moves.get(shard);
+      if (move) yield* this.drains.abandon(view, move, 'append-rejected');
+    }
+    this.rejected = null;
+    const folded = (s: PendingAppend[number]) =>
+      view.index.epochOf(s) !== s.baseEpoch;
+    for (const move of this.state.moves.list()) {
+      if (!folded(move)) continue;
+      this.state.moves.remove(move, view.nowMs);
+      yield this.movedEvent(view, move);
+    }
+    if (this.pending?.every(folded)) this.pending = null;
+  }
+
+  /**
+   * Appends at most one record; further ones wait for its fate.
+   *
+   * @param view - Inputs of the step.
+   * @returns At most one command.
+   */
+  *append(view: View): Generator<AssignerCommand> {
+    const ready = this.state.moves.list().filter(m => m.stage === 'ready');
+    if (ready.length > 0) {
+      for (const move of ready) move.stage = 'append';
+      this.pending = ready;
+      yield {kind: 'append', record: this.assignRecord(view, ready)};
+      return;
+    }
+    const isolation = this.hotShards.next(view);
+    if (!isolation) return;
+    const {service, shard} = isolation.hot;
+    const baseEpoch = view.index.epochOf({service, shard})!;
+    this.pending = [{service, shard, baseEpoch}];
+    yield {kind: 'append', record: isolation.record};
+  }
+
+  private movedEvent(view: View, move: MoveInFlight): AssignerCommand {
+    return {
+      kind: 'event',
+      event: {
+        kind: 'shard-moved',
+        term: this.state.term,
+        epoch: view.index.epochOf(move),
+        cause: move.reason,
+        fields: moveFields(move),
+      },
+    };
+  }
+
+  private assignRecord(
+    view: View,
+    moves: readonly MoveInFlight[],
+  ): AppendDraft {
+    const {vm, zone, term} = this.state.options;
+    const changes: ShardChange[] = moves.map(m => ({
+      service: m.service,
+      shard: m.shard,
+      server: m.to,
+      reason: m.reason,
+      formerFence: this.state.slots.get(m.from ?? '')?.fenceInForce ?? null,
+    }));
+    const baseOffset = view.state.offset;
+    return {kind: 'assign', author: vm, zone, term, baseOffset, changes};
+  }
+}
--- /dev/null
+++ b/packages/core/src/core/ownership/assigner/renewals.ts
@@ -0,0 +1,155 @@
+/** Calls the servers and renews leases and permissions. */
+import {
+  LEASE_RENEW_INTERVAL_MS,
+  LEASE_TTL_MS,
+  TERM_CONFIRM_MS,
+  type Grant,
+  type LeaseRequest,
+} from '../../../types/index.js';
+import type {AssignerCommand} from '../assigner-types.js';
+import {dispatcherOf, type ServerSlot} from '../server-slot.js';
+import type {Servers} from './servers.js';
+import {permissionHolder, type AssignerState, type View} from './state.js';
+
+/** Interval between lease calls while a server finishes a shard's requests. */
+const DRAIN_POLL_MS = 50;
+/** Time after which an unanswered permission is sent again. */
+const PERMISSION_RESEND_MS = LEASE_RENEW_INTERVAL_MS;
+
+/** Renews what this term granted. */
+export class Renewals {
+  /**
+   * @param state - State of the term.
+   * @param servers - Condition of the servers.
+   */
+  constructor(
+    private readonly state: AssignerState,
+    private readonly servers: Servers,
+  ) {}
+
+  /**
+   * Calls all servers and dispatchers that are due.
+   *
+   * @param view - Inputs of the step.
+   * @returns Lease calls, probes and permissions.
+   */
+  *renew(view: View): Generator<AssignerCommand> {
+    for (const slot of this.state.slots.values()) {
+      if (!this.servers.isPresent(view, slot.id)) continue;
+      if (slot.server.checksGrants) yield* this.renewLease(view, slot);
+      else yield* this.renewPermission(view, slot);
+    }
+  }
+
+  private *renewLease(
+    view: View,
+    slot: ServerSlot,
+  ): Generator<AssignerCommand> {
+    if (slot.outstanding) return;
+    const d = dispatcherOf(slot);
+    const {reading} = this.state.leases.get(slot.id);
+    if (!reading || !d || slot.needsProbe || !this.mayGrant(view, slot)) {
+      if (isCallDue(view, slot) || slot.needsProbe) yield probe(view, slot);
+      return;
+    }
+    const grants = this.grants(view, slot);
+    const signature = JSON.stringify([d.vm, d.fence, grants]);
+    if (!isCallDue(view, slot) && !this.isUrgent(view, slot, signature)) return;
+    slot.outstanding = true;
+    slot.lastCallAtMs = view.nowMs;
+    slot.sentSignature = signature;
+    slot.seq++;
+    const request: LeaseRequest = {
+      zone: this.state.zone,
+      term: this.state.term,
+      fence: d.fence,
+      dispatcher: d.vm,
+      expiresAtMs: this.state.leases.nextExpiryMs(slot.id)!,
+      grants,
+      bootId: reading.bootId,
+      seq: slot.seq,
+    };
+    yield {kind: 'lease', server: slot.id, request};
+  }
+
+  private isUrgent(view: View, slot: ServerSlot, signature: string): boolean {
+    const entry = this.state.leases.get(slot.id);
+    const clockMs = entry.reading?.clockMs ?? 0;
+    const leftMs = (entry.lastExpirySentMs ?? 0) - clockMs;
+    return (
+      entry.consecutiveFailures === 0 &&
+      (signature !== slot.sentSignature ||
+        leftMs < LEASE_TTL_MS / 2 ||
+        this.isDraining(view, slot))
+    );
+  }
+
+  private isDraining(view: View, slot: ServerSlot): boolean {
+    return (
+      view.nowMs >= slot.lastCallAtMs + DRAIN_POLL_MS &&
+      this.state.moves
+        .list()
+        .some(m => m.from === slot.id && m.stage === 'server')
+    );
+  }
+
+  /** Probes a server that does not check and renews its permission. */
+  private *renewPermission(
+    view: View,
+    slot: ServerSlot,
+  ): Generator<AssignerCommand> {
+    if (!slot.outstanding && isCallDue(view, slot)) yield probe(view, slot);
+    const d = dispatcherOf(slot);
+    if (!d) return;
+    const {permissions, term} = this.state;
+    const holder = permissionHolder(d.vm, slot.id);
+    const known = permissions.get(holder).reading !== null;
+    const allowed = known && this.mayGrant(view, slot);
+    const grants = allowed ? this.grants(view, slot) : [];
+    const signature = JSON.stringify([d.vm, d.fence, grants, allowed]);
+    const resend = view.nowMs >= slot.permissionSentAtMs + PERMISSION_RESEND_MS;
+    if (signature === slot.sentSignature && !resend) return;
+    slot.sentSignature = signature;
+    slot.permissionSentAtMs = view.nowMs;
+    // Without a reading or authority the call only reads the clock.
+    const expiresAtMs = allowed ? permissions.nextExpiryMs(holder)! : 0;
+    const {fence} = d;
+    const content = {server: slot.id, term, fence, expiresAtMs, grants};
+    const message = {kind: 'permission' as const, ...content};
+    yield {kind: 'permission', to: d.vm, message};
+  }
+
+  /** Whether the term's authority suffices for a grant to the server now. */
+  private mayGrant(view: View, slot: ServerSlot): boolean {
+    const {termConfirmedAtMs, nowMs} = view;
+    const {checksGrants, service} = slot.server;
+    const holderZone = view.state.terms.get(this.state.zone)?.holderZone;
+    const limited =
+      view.index.lapseServices.has(service) ||
+      // The next assigner does not call the entry VMs of other zones.
+      (!checksGrants && holderZone !== this.state.zone);
+    if (limited && nowMs - termConfirmedAtMs > TERM_CONFIRM_MS) return false;
+    // A restarted server has forgotten a newer term that may have moved its
+    // shards, so this term must be confirmed after the restart was seen.
+    return (
+      slot.unseenTermSinceMs === null ||
+      !checksGrants ||
+      termConfirmedAtMs >= slot.unseenTermSinceMs
+    );
+  }
+
+  private grants(view: View, slot: ServerSlot): Grant[] {
+    const {moves} = this.state;
+    return view.index.grantsOf(slot.id, id => moves.isWithheld(id));
+  }
+}
+
+function isCallDue(view: View, slot: ServerSlot): boolean {
+  return view.nowMs >= slot.lastCallAtMs + LEASE_RENEW_INTERVAL_MS;
+}
+
+function probe(view: View, slot: ServerSlot): AssignerCommand {
+  slot.outstanding = true;
+  slot.lastCallAtMs = view.nowMs;
+  return {kind: 'probe', server: slot.id};
+}
