Bind drains to a term, a fence and an epoch, and number them

Cause: the property model with dispatchers showed three faults. A shard that returned to a server through the same dispatcher in the same term stayed drained for ever. A VM that dispatched again after an unplanned change kept a drain whose end had been sent to another VM. The late answer to a drain that was taken back counted for the next drain of the shard, so a shard was moved while the slow dispatcher of its former owner could still send. Ruled out: ending a drain by a message after the move, because a dispatcher that has not read the record could then send under its old permission. Change: a drain carries the assigner's folded offset and a number. A dispatcher ends it with a later epoch of the shard or with a new fence, and confirms it only while it is in force; the confirmation repeats the number. The assigner counts confirmations of the present drain under the present fence only. Without the check of number and fence the new test of a drain that was taken back fails.

--- a/packages/core/src/core/ownership/assigner/drains.ts
+++ b/packages/core/src/core/ownership/assigner/drains.ts
@@ -15,6 +15,8 @@
 
 /** Drains shards at dispatchers and servers, and gives moves up. */
 export class Drains {
+  private lastSeq = 0;
+
   /**
    * @param state - State of the term.
    * @param servers - Condition of the servers.
@@ -35,12 +37,15 @@
   noteDrained(message: PeerMessageOf<'shard-drained'>, from?: string): void {
     const slot = this.state.slots.get(message.server);
     if (!slot || message.term !== this.state.term) return;
-    const {service, server} = message;
+    const {service, server, seq} = message;
+    const fence = dispatcherOf(slot)?.fence ?? null;
     for (const shard of message.shards) {
       const move = this.state.moves.get({service, shard});
       if (move?.from !== server || move.stage !== 'dispatcher') continue;
       if (from !== undefined && from !== move.drainTo) continue;
-      if (move.drainTo === dispatcherOf(slot)?.vm) leaveDispatcher(slot, move);
+      // The answer to a drain that was taken back must not count for this one.
+      if (seq < move.drainSeq || !sameFence(move.drainFence, fence)) continue;
+      leaveDispatcher(slot, move);
     }
   }
 
@@ -74,7 +79,11 @@
       else if (move.stage === 'dispatcher') this.advanceMove(view, move, due);
     }
     for (const group of due.values()) {
-      yield this.drainCommand(group[0]!.drainTo!, group, true);
+      const command = this.drainCommand(view, group[0]!.drainTo!, group, true);
+      for (const move of group) {
+        move.drainSeq = Math.min(move.drainSeq, this.lastSeq);
+      }
+      yield command;
     }
   }
 
@@ -93,7 +102,7 @@
   ): Generator<AssignerCommand> {
     this.state.moves.remove(move, view.nowMs);
     if (move.drainTo !== null) {
-      yield this.drainCommand(move.drainTo, [move], false);
+      yield this.drainCommand(view, move.drainTo, [move], false);
     }
     const {term} = this.state;
     const fields = moveFields(move);
@@ -114,7 +123,10 @@
     // A VM that does not know yet that it dispatches would confirm at once.
     if (!sameFence(slot.publishedFence, d.fence)) return;
     const resend = view.nowMs >= move.drainSentAtMs + DRAIN_RESEND_MS;
-    if (d.vm === move.drainTo && !resend) return;
+    const known = sameFence(move.drainFence, d.fence);
+    if (known && !resend) return;
+    if (!known) move.drainSeq = Infinity;
+    move.drainFence = d.fence;
     move.drainTo = d.vm;
     move.drainSentAtMs = view.nowMs;
     const group = `${d.vm} ${move.from} ${move.service} ${move.to}`;
@@ -139,6 +151,7 @@
   }
 
   private drainCommand(
+    view: View,
     to: string,
     moves: readonly MoveInFlight[],
     drain: boolean,
@@ -151,6 +164,8 @@
       message: {
         kind: 'shard-drain',
         term: this.state.term,
+        offset: view.state.offset,
+        seq: ++this.lastSeq,
         server: from!,
         service,
         shards: moves.map(m => m.shard),
--- a/packages/core/src/core/ownership/move-table.ts
+++ b/packages/core/src/core/ownership/move-table.ts
@@ -1,4 +1,5 @@
 /** Moves in flight of one assigner. */
+import type {Fence} from '../../types/index.js';
 import {SHARD_REST_MS, shardKey, type Move, type ShardId} from './placement.js';
 
 /**
@@ -13,9 +14,12 @@
   /** Epoch of the shard when the move was decided. */
   readonly baseEpoch: number;
   readonly planned: boolean;
-  /** Dispatcher that was told to drain, and when. */
+  /** Dispatcher that was told to drain, its fence, and when. */
   drainTo: string | null;
+  drainFence: Fence | null;
   drainSentAtMs: number;
+  /** First order to drain under that fence. */
+  drainSeq: number;
   /** First lease call without the shard. */
   minSeq: number;
 }
@@ -44,7 +48,9 @@
       baseEpoch,
       planned: stage === 'dispatcher',
       drainTo: null,
+      drainFence: null,
       drainSentAtMs: -Infinity,
+      drainSeq: Infinity,
       minSeq: Infinity,
     };
     this.moves.set(shardKey(move), inFlight);
--- a/packages/core/src/types/peer-messages.ts
+++ b/packages/core/src/types/peer-messages.ts
@@ -182,6 +182,10 @@
 export const shardDrainSchema = z.object({
   kind: z.literal('shard-drain'),
   term: offsetSchema,
+  /** Folded offset of the sender. A later epoch of a shard ends its drain. */
+  offset: offsetSchema,
+  /** Grows with each order of a term; the confirmation repeats it. */
+  seq: z.int().min(1),
   server: z.string(),
   service: z.string(),
   shards: z.array(z.int()),
@@ -195,6 +199,7 @@
 export const shardDrainedSchema = z.object({
   kind: z.literal('shard-drained'),
   term: offsetSchema,
+  seq: z.int().min(1),
   server: z.string(),
   service: z.string(),
   shards: z.array(z.int()),
--- a/packages/core/test/ownership/assigner.test.ts
+++ b/packages/core/test/ownership/assigner.test.ts
@@ -82,9 +82,9 @@
   }
 
   function confirm(bench: Bench, drain: Of<'shard-drain'>): void {
-    const {term, server, service, shards} = drain.message;
+    const {term, seq, server, service, shards} = drain.message;
     const kind = 'shard-drained';
-    bench.assigner.onShardDrained({kind, term, server, service, shards});
+    bench.assigner.onShardDrained({kind, term, seq, server, service, shards});
   }
 
   it('keeps the grant until the dispatcher has drained', () => {
--- a/packages/core/test/ownership/unchecked.test.ts
+++ b/packages/core/test/ownership/unchecked.test.ts
@@ -83,11 +83,11 @@
     bench.run(60_000);
     bench.log.append({kind: 'bundle', body});
     const drain = pick(bench.run(500), 'shard-drain')[0]!;
-    const {term, server, service, shards} = drain.message;
+    const {term, seq, server, service, shards} = drain.message;
     const {next} = loseDispatcher(bench);
     bench.logAvailable = false;
     const kind = 'shard-drained';
-    bench.assigner.onShardDrained({kind, term, server, service, shards});
+    bench.assigner.onShardDrained({kind, term, seq, server, service, shards});
     bench.run(50);
     bench.logAvailable = true;
     const causes = pick(bench.seen, 'event').map(c => c.event.cause);
@@ -96,6 +96,32 @@
     expect(dispatcherOf(bench, 's1')).toBe(next);
   });
 
+  it('do not lose a shard by the answer to a drain that was taken back', () => {
+    const servers = ['s1', 's2', 's3'].map(id => ({id}));
+    const bench = start({checksGrants: false, servers});
+    bench.run(60_000);
+    bench.silent.add('s1');
+    const first = pick(bench.run(1_500), 'shard-drain')[0]!;
+    bench.silent.add('s2').add('s3');
+    const back = pick(bench.run(500), 'shard-drain');
+    expect(back.some(c => !c.message.drain)).toBe(true);
+    bench.silent.delete('s2');
+    bench.silent.delete('s3');
+    const again = pick(bench.run(500), 'shard-drain').at(-1)!;
+    expect(again.message).toMatchObject({server: 's1', drain: true});
+    const answer = ({message}: Of<'shard-drain'>, shards: number[]) => {
+      const {term, seq, server, service} = message;
+      const kind = 'shard-drained';
+      const drained = {kind, term, seq, server, service, shards} as const;
+      bench.assigner.onShardDrained({...drained, shards});
+    };
+    const {shards} = again.message;
+    answer(first, shards);
+    expect(pick(bench.run(500), 'append')).toEqual([]);
+    answer(again, shards);
+    expect(pick(bench.run(500), 'append').length).toBe(1);
+  });
+
   it('are drained only by a VM that knows that it dispatches', () => {
     const bench = start({checksGrants: false});
     bench.run(60_000);
--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -7,7 +7,7 @@
 import type {PermissionTable} from './permissions.js';
 import type {RouteTable} from './route-table.js';
 import type {StateReplica} from './state-replica.js';
-import {ZoneOrders} from './zone-orders.js';
+import {ZoneOrders, type DrainOrder} from './zone-orders.js';
 
 type MessageOf<K extends PeerMessage['kind']> = Extract<PeerMessage, {kind: K}>;
 
@@ -74,15 +74,13 @@
     if (records.length > 0) this.send(vm, {kind: 'crash-record', records});
   }
 
-  /** Takes back what assigners of ended terms ordered. */
+  /** Takes back what assigners of ended terms ordered, and what is done. */
   onStateChanged(): void {
-    const {dispatcher} = this.options;
-    const outdated = this.orders.takeOutdatedDrains(server =>
-      this.currentTermOf(server),
+    const outdated = this.orders.takeOutdatedDrains(
+      server => this.currentTermOf(server),
+      (service, shard) => this.epochOf(service, shard),
     );
-    for (const {server, service, shard} of outdated) {
-      void dispatcher.setDrain(server, service, [shard], false);
-    }
+    this.endDrains(outdated);
   }
 
   /**
@@ -151,6 +149,8 @@
       if (this.orders.isStopped(row.server, row.fence, row.term)) continue;
       own.add(row.server);
       dispatcher.setDispatch(row.server, row.fence);
+      const {server, fence} = row;
+      this.endDrains(this.orders.takeDrainsOfOtherFences(server, fence));
     }
     for (const server of this.dispatched) {
       if (!own.has(server)) dispatcher.setDispatch(server, null);
@@ -175,14 +175,22 @@
     from: string,
     message: MessageOf<'shard-drain'>,
   ): Promise<void> {
-    const {server, service, shards, next, term, drain} = message;
+    const {server, service, next, term, offset, seq, drain} = message;
     if (term < this.currentTermOf(server)) return;
+    const shards = message.shards.filter(
+      shard => this.epochOf(service, shard) <= offset,
+    );
+    if (shards.length === 0) return;
+    const fence = this.options.directory.lookup(server)?.fence ?? null;
+    const order = {server, service, term, offset, fence};
     for (const shard of shards) {
-      this.orders.noteDrain({server, service, shard, term}, drain);
+      this.orders.noteDrain({...order, shard}, drain);
     }
     await this.options.dispatcher.setDrain(server, service, shards, drain);
-    if (!drain) return;
-    const fence = this.options.directory.lookup(server)?.fence;
+    // Requests may run again after a drain that was taken back meanwhile.
+    const isDrained = (shard: number) =>
+      this.orders.isDrained({server, service, shard});
+    if (!shards.every(isDrained)) return;
     if (fence && next !== null && next !== this.options.vm) {
       const {dispatcher} = this.options;
       this.send(
@@ -190,7 +198,8 @@
         dispatcher.exportAttempts(server, fence, service, shards),
       );
     }
-    this.send(from, {kind: 'shard-drained', term, server, service, shards});
+    const drained = {term, seq, server, service, shards};
+    this.send(from, {kind: 'shard-drained', ...drained});
   }
 
   /** Term of a server's zone in the folded state; 0 when there is none. */
@@ -200,6 +209,17 @@
     return replica.state.terms.get(zone)?.term ?? 0;
   }
 
+  private endDrains(drains: readonly DrainOrder[]): void {
+    for (const {server, service, shard} of drains) {
+      void this.options.dispatcher.setDrain(server, service, [shard], false);
+    }
+  }
+
+  private epochOf(service: string, shard: number): number {
+    const {services} = this.options.replica.state;
+    return services.get(service)?.rows[shard]?.epoch ?? 0;
+  }
+
   private onPermission(from: string, message: MessageOf<'permission'>): void {
     const {permissions, clock} = this.options;
     if (message.term < this.currentTermOf(message.server)) return;
--- a/packages/daemon/src/control/zone-orders.ts
+++ b/packages/daemon/src/control/zone-orders.ts
@@ -7,6 +7,10 @@
   readonly service: string;
   readonly shard: number;
   readonly term: number;
+  /** Folded offset of the assigner that gave the order. */
+  readonly offset: number;
+  /** Fence of the server's dispatcher when the order came, if known. */
+  readonly fence: Fence | null;
 }
 
 interface StopOrder {
@@ -17,7 +21,9 @@
 /**
  * Remembers drains and stops. A new assigner does not know what the former one
  * ordered, so a drain of an older term is taken back, and a stopped fence may
- * be used again if a newer term's table lists it.
+ * be used again if a newer term's table lists it. A drain also ends with a new
+ * epoch of its shard, because the shard may return to the same server, and with
+ * a new fence, under which the assigner sends the drains that still count.
  */
 export class ZoneOrders {
   private readonly drains = new Map<string, DrainOrder>();
@@ -30,11 +36,21 @@
    * @param on - True to drain.
    */
   noteDrain(order: DrainOrder, on: boolean): void {
-    const id = `${order.server}/${order.service}/${order.shard}`;
+    const id = drainId(order);
     if (on) this.drains.set(id, order);
     else this.drains.delete(id);
   }
 
+  /**
+   * Tells whether a drain is in force.
+   *
+   * @param shard - Server and shard.
+   * @returns False once it was taken back or has ended.
+   */
+  isDrained(shard: Pick<DrainOrder, 'server' | 'service' | 'shard'>): boolean {
+    return this.drains.has(drainId(shard));
+  }
+
   /**
    * Notes that this VM stopped dispatching for a server.
    *
@@ -61,20 +77,49 @@
   }
 
   /**
-   * Removes the drains of older terms.
+   * Removes the drains of older terms and of older epochs.
    *
    * @param currentTermOf - Current term of a server's zone.
+   * @param epochOf - Present epoch of a shard.
    * @returns The removed drains.
    */
   takeOutdatedDrains(
     currentTermOf: (server: string) => number,
+    epochOf: (service: string, shard: number) => number,
   ): readonly DrainOrder[] {
-    const outdated: DrainOrder[] = [];
-    for (const [id, order] of this.drains) {
-      if (order.term >= currentTermOf(order.server)) continue;
-      this.drains.delete(id);
-      outdated.push(order);
-    }
-    return outdated;
+    return this.takeDrains(
+      order =>
+        order.term < currentTermOf(order.server) ||
+        epochOf(order.service, order.shard) > order.offset,
+    );
+  }
+
+  /**
+   * Removes the drains that were ordered under another fence.
+   *
+   * @param server - Server id.
+   * @param fence - Fence of this VM.
+   * @returns The removed drains.
+   */
+  takeDrainsOfOtherFences(server: string, fence: Fence): readonly DrainOrder[] {
+    return this.takeDrains(
+      order =>
+        order.server === server &&
+        (order.fence?.term !== fence.term || order.fence.seq !== fence.seq),
+    );
   }
+
+  private takeDrains(isOver: (order: DrainOrder) => boolean): DrainOrder[] {
+    const over = [...this.drains.values()].filter(isOver);
+    for (const order of over) this.drains.delete(drainId(order));
+    return over;
+  }
+}
+
+function drainId({
+  server,
+  service,
+  shard,
+}: Pick<DrainOrder, 'server' | 'service' | 'shard'>): string {
+  return `${server}/${service}/${shard}`;
 }
--- a/packages/daemon/test/control.test.ts
+++ b/packages/daemon/test/control.test.ts
@@ -2,6 +2,7 @@
 import type {PeerMesh, PeerView} from '@wisteriarun/peer';
 import type {VmEntry, VmListWatcher} from '@wisteriarun/vm-list';
 import {PeerRoster} from '../src/control/peer-roster.js';
+import {ZoneOrders} from '../src/control/zone-orders.js';
 
 const peer = (vm: string, overrides: Partial<PeerView> = {}): PeerView => ({
   vm,
@@ -78,3 +79,40 @@
     expect([...removed].sort()).toEqual(['b', 'b.1']);
   });
 });
+
+describe('a drain', () => {
+  const fence = {term: 3, seq: 1};
+  const order = {server: 's', service: 'svc', shard: 1, term: 3, offset: 9};
+
+  function drained(): ZoneOrders {
+    const orders = new ZoneOrders();
+    orders.noteDrain({...order, fence}, true);
+    return orders;
+  }
+
+  const outdated = (orders: ZoneOrders, term: number, epoch: number) =>
+    orders.takeOutdatedDrains(
+      () => term,
+      () => epoch,
+    ).length;
+
+  it('ends with a new epoch, so that a shard that returns is served', () => {
+    const orders = drained();
+    expect(outdated(orders, 3, 9)).toBe(0);
+    expect(orders.isDrained(order)).toBe(true);
+    expect(outdated(orders, 3, 10)).toBe(1);
+    expect(orders.isDrained(order)).toBe(false);
+  });
+
+  it('ends with a newer term', () => {
+    expect(outdated(drained(), 4, 9)).toBe(1);
+  });
+
+  it('ends with a new fence, because the order may have gone elsewhere', () => {
+    const orders = drained();
+    expect(orders.takeDrainsOfOtherFences('s', fence)).toEqual([]);
+    expect(orders.takeDrainsOfOtherFences('t', {term: 3, seq: 2})).toEqual([]);
+    const over = orders.takeDrainsOfOtherFences('s', {term: 3, seq: 2});
+    expect(over.map(o => o.shard)).toEqual([1]);
+  });
+});
