--- a/packages/core/src/core/ownership/dispatch-plan.ts
+++ b/packages/core/src/core/ownership/dispatch-plan.ts
@@ -2,7 +2,7 @@
 import type {DispatchRow, Fence} from '../../types/index.js';
 import type {AssignerCommand, PeerMessageOf} from './assigner-types.js';
 import {chooseDispatcher, type EntryVm} from './dispatcher-choice.js';
-import {dispatcherOf, type ServerSlot} from './server-slot.js';
+import {dispatcherOf, sameFence, type ServerSlot} from './server-slot.js';
 
 /** Interval at which an unanswered stop is sent again. */
 const STOP_RESEND_MS = 1_000;
@@ -50,7 +50,7 @@
    * @param entries - Live entry VMs.
    * @param nowMs - Own monotonic time.
    * @param lostWaitUntilMs - For a server that does not check: time until
-   * which a lost dispatcher may still have requests running.
+   * which a lost dispatcher may still start requests.
    * @param mayRebalance - Whether no other planned change is in progress.
    * @returns Commands to the dispatcher.
    */
@@ -127,12 +127,14 @@
     const rows: DispatchRow[] = [];
     for (const slot of slots) {
       const d = dispatcherOf(slot);
+      slot.publishedFence = d?.acked ? d.fence : null;
       if (!d?.acked) continue;
+      const inForce = sameFence(d.fence, slot.fenceInForce);
       rows.push({
         server: slot.id,
         dispatcher: d.vm,
         fence: d.fence,
-        replaces: null,
+        replaces: inForce ? slot.replacedFence : null,
       });
     }
     const readers = entries.map(e => e.vm).sort();
--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -8,7 +8,7 @@
 import type {PermissionTable} from './permissions.js';
 import type {RouteTable} from './route-table.js';
 import type {StateReplica} from './state-replica.js';
-import {ZoneOrders} from './zone-orders.js';
+import {ZoneOrders, type DrainOrder} from './zone-orders.js';
 
 type MessageOf<K extends PeerMessage['kind']> = Extract<PeerMessage, {kind: K}>;
 
@@ -99,19 +99,13 @@
     this.sendHandovers();
   }
 
-  /** Takes back drains of ended terms and of shards that have left. */
+  /** Takes back what assigners of ended terms ordered, and what is done. */
   onStateChanged(): void {
-    const {dispatcher, routes} = this.options;
     const outdated = this.orders.takeOutdatedDrains(
-      ({server, service, shard, term}) =>
-        term >= this.currentTermOf(server) &&
-        [...routes.shardsOf(server)].some(
-          owned => owned.service === service && owned.shard === shard,
-        ),
+      server => this.currentTermOf(server),
+      (service, shard) => this.epochOf(service, shard),
     );
-    for (const {server, service, shard} of outdated) {
-      void dispatcher.setDrain(server, service, [shard], false);
-    }
+    this.endDrains(outdated);
   }
 
   /**
@@ -181,6 +175,8 @@
       if (this.orders.isStopped(row.server, row.fence, row.term)) continue;
       own.add(row.server);
       dispatcher.setDispatch(row.server, row.fence, row.replaces);
+      const {server, fence} = row;
+      this.endDrains(this.orders.takeDrainsOfOtherFences(server, fence));
     }
     for (const server of this.dispatched) {
       if (!own.has(server)) dispatcher.setDispatch(server, null);
@@ -210,18 +206,24 @@
     from: string,
     message: MessageOf<'shard-drain'>,
   ): Promise<void> {
-    const {server, service, shards, term, drain} = message;
+    const {server, service, term, offset, seq, drain} = message;
     if (term < this.currentTermOf(server)) return;
-    const orders = shards.map(shard => ({server, service, shard, term}));
-    for (const order of orders) this.orders.noteDrain(order, drain);
+    const shards = message.shards.filter(
+      shard => this.epochOf(service, shard) <= offset,
+    );
+    if (shards.length === 0) return;
+    const fence = this.options.directory.lookup(server)?.fence ?? null;
+    const order = {server, service, term, offset, seq, fence};
+    for (const shard of shards) {
+      this.orders.noteDrain({...order, shard}, drain);
+    }
     await this.options.dispatcher.setDrain(server, service, shards, drain);
-    if (!drain) return;
-    // The drain may have been taken back while requests finished.
-    const drained = orders.filter(order => this.orders.isDrained(order));
-    if (drained.length === 0) return;
-    const ready = drained.map(({shard}) => shard);
-    const answer = {term, server, service, shards: ready};
-    this.send(from, {kind: 'shard-drained', ...answer});
+    // Requests may run again after a drain that was taken back meanwhile.
+    const isDrained = (shard: number) =>
+      this.orders.isDrained({...order, shard});
+    if (!shards.every(isDrained)) return;
+    const drained = {term, seq, server, service, shards};
+    this.send(from, {kind: 'shard-drained', ...drained});
   }
 
   private sendHandovers(): void {
@@ -243,6 +245,17 @@
     return replica.state.terms.get(zone)?.term ?? 0;
   }
 
+  private endDrains(drains: readonly DrainOrder[]): void {
+    for (const {server, service, shard} of drains) {
+      void this.options.dispatcher.setDrain(server, service, [shard], false);
+    }
+  }
+
+  private epochOf(service: string, shard: number): number {
+    const {services} = this.options.replica.state;
+    return services.get(service)?.rows[shard]?.epoch ?? 0;
+  }
+
   private onPermission(from: string, message: MessageOf<'permission'>): void {
     const {permissions, clock} = this.options;
     if (message.term < this.currentTermOf(message.server)) return;
--- a/packages/daemon/src/control/zone-orders.ts
+++ b/packages/daemon/src/control/zone-orders.ts
@@ -7,6 +7,12 @@
   readonly service: string;
   readonly shard: number;
   readonly term: number;
+  /** Folded offset of the assigner that gave the order. */
+  readonly offset: number;
+  /** Number that the assigner gave the order. */
+  readonly seq: number;
+  /** Fence of the server's dispatcher when the order came, if known. */
+  readonly fence: Fence | null;
 }
 
 interface StopOrder {
@@ -17,8 +23,9 @@
 /**
  * Remembers drains and stops. A new assigner does not know what the former one
  * ordered, so a drain of an older term is taken back, and a stopped fence may
- * be used again if a newer term's table lists it. A drain also ends with the
- * move that it served; else the shard would be held back when it returns.
+ * be used again if a newer term's table lists it. A drain also ends with a new
+ * epoch of its shard, because the shard may return to the same server, and with
+ * a new fence, under which the assigner sends the drains that still count.
  */
 export class ZoneOrders {
   private readonly drains = new Map<string, DrainOrder>();
@@ -36,6 +43,18 @@
     else this.drains.delete(id);
   }
 
+  /**
+   * Tells whether a drain is in force.
+   *
+   * @param order - The order as it was noted.
+   * @returns False once it was taken back or has ended, also when the shard was
+   * drained again by a later order.
+   */
+  isDrained(order: DrainOrder): boolean {
+    const known = this.drains.get(drainId(order));
+    return known?.term === order.term && known.seq === order.seq;
+  }
+
   /**
    * Notes that this VM stopped dispatching for a server.
    *
@@ -62,34 +81,49 @@
   }
 
   /**
-   * Tells whether a drain is in force.
+   * Removes the drains of older terms and of older epochs.
    *
-   * @param order - The order as it was noted.
-   * @returns False when it was taken back, even if it was ordered again.
+   * @param currentTermOf - Current term of a server's zone.
+   * @param epochOf - Present epoch of a shard.
+   * @returns The removed drains.
    */
-  isDrained(order: DrainOrder): boolean {
-    return this.drains.get(drainId(order)) === order;
+  takeOutdatedDrains(
+    currentTermOf: (server: string) => number,
+    epochOf: (service: string, shard: number) => number,
+  ): readonly DrainOrder[] {
+    return this.takeDrains(
+      order =>
+        order.term < currentTermOf(order.server) ||
+        epochOf(order.service, order.shard) > order.offset,
+    );
   }
 
   /**
-   * Removes the drains that no longer apply.
+   * Removes the drains that were ordered under another fence.
    *
-   * @param applies - Whether the term and the owner are still the same.
+   * @param server - Server id.
+   * @param fence - Fence of this VM.
    * @returns The removed drains.
    */
-  takeOutdatedDrains(
-    applies: (order: DrainOrder) => boolean,
-  ): readonly DrainOrder[] {
-    const outdated: DrainOrder[] = [];
-    for (const [id, order] of this.drains) {
-      if (applies(order)) continue;
-      this.drains.delete(id);
-      outdated.push(order);
-    }
-    return outdated;
+  takeDrainsOfOtherFences(server: string, fence: Fence): readonly DrainOrder[] {
+    return this.takeDrains(
+      order =>
+        order.server === server &&
+        (order.fence?.term !== fence.term || order.fence.seq !== fence.seq),
+    );
+  }
+
+  private takeDrains(isOver: (order: DrainOrder) => boolean): DrainOrder[] {
+    const over = [...this.drains.values()].filter(isOver);
+    for (const order of over) this.drains.delete(drainId(order));
+    return over;
   }
 }
 
-function drainId({server, service, shard}: DrainOrder): string {
+function drainId({
+  server,
+  service,
+  shard,
+}: Pick<DrainOrder, 'server' | 'service' | 'shard'>): string {
   return `${server}/${service}/${shard}`;
 }
--- a/packages/daemon/test/control/orders.test.ts
+++ b/packages/daemon/test/control/orders.test.ts
@@ -20,7 +20,8 @@
 };
 
 let term: number;
-let owned: number[];
+let epochs: number[];
+let seq: number;
 let drained: Map<number, boolean>;
 let finish: () => void;
 let fences: Map<string, unknown>;
@@ -37,13 +38,16 @@
     shards: [0, 1],
     next: null,
     drain: on,
+    offset: 5,
+    seq: on ? (seq += 1) : seq,
   });
 const answers = () =>
   sent.map(message => ('shards' in message ? message.shards : message.kind));
 
 beforeEach(() => {
   term = 1;
-  owned = [0, 1];
+  epochs = [5, 5];
+  seq = 0;
   drained = new Map();
   finish = () => {};
   fences = new Map();
@@ -53,13 +57,14 @@
     clock: {monotonicMs: () => 0, wallMs: () => 0},
     replica: {
       get state() {
-        return {terms: new Map([['z', {term}]])};
+        const rows = epochs.map(epoch => ({epoch}));
+        const services = new Map([['s', {rows}]]);
+        return {terms: new Map([['z', {term}]]), services};
       },
     },
     directory: new DispatchDirectory(),
     routes: {
       server: () => ({zone: 'z'}),
-      shardsOf: () => owned.map(shard => ({service: 's', shard})),
       onChanged: () => {},
     },
     dispatcher: {
@@ -117,7 +122,7 @@
   // Otherwise the shard is held back when it returns in the same term.
   it('ends the drain of a shard that has moved', () => {
     drain(true);
-    owned = [1];
+    epochs = [9, 5];
     duties.onStateChanged();
     expect([...drained]).toEqual([
       [0, false],
--- a/testing/bench/src/capacity/control-cost.ts
+++ b/testing/bench/src/capacity/control-cost.ts
@@ -155,6 +155,8 @@
       draining: false,
     })),
     removedServers: new Set(),
+    knownEntries: [HOLDER],
+    removedEntries: new Set(),
     logAvailable: true,
     termConfirmedAtMs: nowMs,
   });
