Copy answers without a signal and a transform for each

Cause: a profile of the entry VMs under load showed the abort signal that the library's pipeline creates and aborts for every answer, and a transform for answers that nobody keeps. Ruled out: buffering short answers, because their length is not always known. Change: answers are piped with the same handling of broken ends; only answers of non-repeatable requests are copied.

--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -8,14 +8,13 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {pipeline} from 'node:stream/promises';
 import {
   HEADERS,
   REASONS,
   requestFailure,
   type RequestFailure,
 } from '@wisteriarun/core';
-import {closeGracefully} from '@wisteriarun/runtime';
+import {closeGracefully, sendBody} from '@wisteriarun/runtime';
 import {parseHead} from './parse.js';
 import type {CallerAnswer, CallerHandler} from './types.js';
 
@@ -161,8 +160,7 @@
     ...answer.headers,
     [HEADERS.outcome]: 'answered',
   });
-  // A failed pipeline destroys the connection, so the answer looks broken.
-  await pipeline(answer.body, res).catch(() => {});
+  await sendBody(answer.body, res);
 }
 
 function writeFailure(
--- a/packages/daemon/src/request/answer-tap.ts
+++ b/packages/daemon/src/request/answer-tap.ts
@@ -21,22 +21,40 @@
   keep: boolean,
   onEnd: (result: TapResult) => void,
 ): Readable {
-  const chunks: Buffer[] = [];
-  let size = 0;
   let ended = false;
   const finish = (result: TapResult) => {
     if (ended) return;
     ended = true;
     onEnd(result);
   };
+  return keep ? copyAnswer(source, finish) : watchAnswer(source, finish);
+}
+
+/** Fast path of answers that nobody will ask for again. */
+function watchAnswer(
+  source: Readable,
+  finish: (result: TapResult) => void,
+): Readable {
+  source.once('end', () => finish({whole: true, body: null}));
+  source.once('error', () => finish({whole: false}));
+  source.once('close', () => finish({whole: false}));
+  return source;
+}
+
+function copyAnswer(
+  source: Readable,
+  finish: (result: TapResult) => void,
+): Readable {
+  const chunks: Buffer[] = [];
+  let size = 0;
   const tap = new Transform({
     transform(chunk: Buffer, _encoding, done) {
       size += chunk.length;
-      if (keep && size <= MAX_REPLAY_BYTES) chunks.push(chunk);
+      if (size <= MAX_REPLAY_BYTES) chunks.push(chunk);
       done(null, chunk);
     },
     flush(done) {
-      const kept = keep && size <= MAX_REPLAY_BYTES;
+      const kept = size <= MAX_REPLAY_BYTES;
       finish({
         whole: true,
         body: kept ? new Uint8Array(Buffer.concat(chunks)) : null,
--- a/packages/peer/src/relay/server.ts
+++ b/packages/peer/src/relay/server.ts
@@ -7,7 +7,6 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {pipeline} from 'node:stream/promises';
 import {
   HEADERS,
   REASONS,
@@ -16,7 +15,7 @@
   requestFailure,
   singleHeader,
 } from '@wisteriarun/core';
-import {closeGracefully} from '@wisteriarun/runtime';
+import {closeGracefully, sendBody} from '@wisteriarun/runtime';
 import type {RelayHandler, RelayRequest, RelayResult} from './types.js';
 import {SERVER_HEADER, SERVER_TIME_HEADER, parseFence} from './wire.js';
 
@@ -148,8 +147,7 @@
       ? {}
       : {[SERVER_TIME_HEADER]: String(Math.round(result.serverMs * 1_000))}),
   });
-  // A failed pipeline destroys the connection, so the answer looks broken.
-  await pipeline(result.body, res).catch(() => {});
+  await sendBody(result.body, res);
 }
 
 function parse(
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,6 +6,7 @@
 export * from './channel.js';
 export * from './clock.js';
 export * from './framing.js';
+export * from './http-answer.js';
 export * from './http-close.js';
 export * from './logger.js';
 export * from './metrics.js';
