Renew leases without unchanged grants

Ruled out: a digest of the grants, because equal digests would let a server keep grants that came with another call. A renewal names the call instead.

Change: a lease call has either grants or the seq of the call that brought them. Servers refuse when they hold no grants of that call, term and boot, and report it in their status. The assigner leaves grants out only while the latest status names its last call with grants. The tests of the stand-in sent calls without boot and sequence, which the schema refuses, and failed before this change; they now send both.

--- a/packages/backend/test/client.test.ts
+++ b/packages/backend/test/client.test.ts
@@ -265,6 +265,7 @@
     term: 2,
     fence: null,
     dispatcher: null,
+    grantsSeq: null,
     busy: [],
     inFlight: 0,
     load: 0,
@@ -277,6 +278,9 @@
     dispatcher: 'vm',
     expiresAtMs: 9,
     grants: [],
+    grantsSeq: null,
+    bootId: 'boot',
+    seq: 1,
   };
 
   it('returns the status, a refusal with its term, or unreachable', async () => {
--- a/packages/core/src/core/ownership/assigner.ts
+++ b/packages/core/src/core/ownership/assigner.ts
@@ -128,6 +128,7 @@
     slot.outstanding = false;
     slot.needsProbe = true;
     slot.sentSignature = null;
+    slot.sentGrants = null;
   }
 
   /**
--- a/packages/core/src/core/ownership/assigner/renewals.ts
+++ b/packages/core/src/core/ownership/assigner/renewals.ts
@@ -3,11 +3,11 @@
   LEASE_RENEW_INTERVAL_MS,
   LEASE_TTL_MS,
   TERM_CONFIRM_MS,
-  type Grant,
+  type Fence,
   type LeaseRequest,
 } from '../../../types/index.js';
 import type {AssignerCommand} from '../assigner-types.js';
-import {dispatcherOf, type ServerSlot} from '../server-slot.js';
+import {dispatcherOf, type GrantList, type ServerSlot} from '../server-slot.js';
 import type {Servers} from './servers.js';
 import {permissionHolder, type AssignerState, type View} from './state.js';
 
@@ -18,6 +18,8 @@
 
 /** Renews what this term granted. */
 export class Renewals {
+  private withheld = '';
+
   /**
    * @param state - State of the term.
    * @param servers - Condition of the servers.
@@ -34,6 +36,7 @@
    * @returns Lease calls, probes and permissions.
    */
   *renew(view: View): Generator<AssignerCommand> {
+    this.withheld = this.state.moves.withheldKey();
     for (const slot of this.state.slots.values()) {
       if (!this.servers.isPresent(view, slot.id)) continue;
       if (slot.server.checksGrants) yield* this.renewLease(view, slot);
@@ -53,25 +56,52 @@
       return;
     }
     const grants = this.grants(view, slot);
-    const signature = JSON.stringify([d.vm, d.fence, grants]);
+    const signature = signatureOf(d, grants.signature);
     if (!isCallDue(view, slot) && !this.isUrgent(view, slot, signature)) return;
     slot.outstanding = true;
     slot.lastCallAtMs = view.nowMs;
     slot.sentSignature = signature;
     slot.seq++;
+    const {bootId} = reading;
+    const isKnown = this.hasGrants(slot, bootId, grants.signature);
+    if (!isKnown) {
+      const {signature} = grants;
+      slot.sentGrants = {seq: slot.seq, bootId, signature};
+    }
     const request: LeaseRequest = {
       zone: this.state.zone,
       term: this.state.term,
       fence: d.fence,
       dispatcher: d.vm,
       expiresAtMs: this.state.leases.nextExpiryMs(slot.id)!,
-      grants,
-      bootId: reading.bootId,
+      grants: isKnown ? null : [...grants.list],
+      grantsSeq: isKnown ? slot.sentGrants!.seq : null,
+      bootId,
       seq: slot.seq,
     };
     yield {kind: 'lease', server: slot.id, request};
   }
 
+  /**
+   * Whether the server certainly holds exactly these grants: the last call with
+   * grants carried them, and the latest status names that call.
+   */
+  private hasGrants(
+    slot: ServerSlot,
+    bootId: string,
+    signature: string,
+  ): boolean {
+    const {sentGrants, status} = slot;
+    return (
+      sentGrants !== null &&
+      sentGrants.signature === signature &&
+      sentGrants.bootId === bootId &&
+      status?.bootId === bootId &&
+      status.term === this.state.term &&
+      status.grantsSeq === sentGrants.seq
+    );
+  }
+
   private isUrgent(view: View, slot: ServerSlot, signature: string): boolean {
     const entry = this.state.leases.get(slot.id);
     const clockMs = entry.reading?.clockMs ?? 0;
@@ -105,8 +135,8 @@
     const holder = permissionHolder(d.vm, slot.id);
     const known = permissions.get(holder).reading !== null;
     const allowed = known && this.mayGrant(view, slot);
-    const grants = allowed ? this.grants(view, slot) : [];
-    const signature = JSON.stringify([d.vm, d.fence, grants, allowed]);
+    const list = allowed ? this.grants(view, slot) : null;
+    const signature = signatureOf(d, list?.signature ?? '');
     const resend = view.nowMs >= slot.permissionSentAtMs + PERMISSION_RESEND_MS;
     if (signature === slot.sentSignature && !resend) return;
     slot.sentSignature = signature;
@@ -114,6 +144,7 @@
     // Without a reading or authority the call only reads the clock.
     const expiresAtMs = allowed ? permissions.nextExpiryMs(holder)! : 0;
     const {fence} = d;
+    const grants = [...(list?.list ?? [])];
     const content = {server: slot.id, term, fence, expiresAtMs, grants};
     const message = {kind: 'permission' as const, ...content};
     yield {kind: 'permission', to: d.vm, message};
@@ -138,12 +169,27 @@
     );
   }
 
-  private grants(view: View, slot: ServerSlot): Grant[] {
+  /** Grants of a server, built only when the state or the moves changed. */
+  private grants(view: View, slot: ServerSlot): GrantList {
+    const {index} = view;
+    const {withheld} = this;
+    const known = slot.grants;
+    if (known?.index === index && known.withheld === withheld) return known;
     const {moves} = this.state;
-    return view.index.grantsOf(slot.id, id => moves.isWithheld(id));
+    const list = index.grantsOf(slot.id, id => moves.isWithheld(id));
+    const signature = JSON.stringify(list);
+    slot.grants = {index, withheld, list, signature};
+    return slot.grants;
   }
 }
 
+function signatureOf(
+  {vm, fence}: {readonly vm: string; readonly fence: Fence},
+  grants: string,
+): string {
+  return `${vm} ${fence.term}.${fence.seq} ${grants}`;
+}
+
 function isCallDue(view: View, slot: ServerSlot): boolean {
   return view.nowMs >= slot.lastCallAtMs + LEASE_RENEW_INTERVAL_MS;
 }
--- a/packages/core/src/core/ownership/move-table.ts
+++ b/packages/core/src/core/ownership/move-table.ts
@@ -87,6 +87,19 @@
     return move !== undefined && move.stage !== 'dispatcher';
   }
 
+  /**
+   * Names the shards that are to be left out of leases.
+   *
+   * @returns A text that is equal for equal sets in the same order.
+   */
+  withheldKey(): string {
+    const keys = [];
+    for (const [key, {stage}] of this.moves) {
+      if (stage !== 'dispatcher') keys.push(key);
+    }
+    return keys.join(' ');
+  }
+
   /**
    * Removes a move that was folded or given up.
    *
--- a/packages/core/src/core/ownership/server-slot.ts
+++ b/packages/core/src/core/ownership/server-slot.ts
@@ -1,5 +1,6 @@
 /** Soft state of the assigner about one server. */
-import type {Fence, Server, ServerStatus} from '../../types/index.js';
+import type {Fence, Grant, Server, ServerStatus} from '../../types/index.js';
+import type {ShardIndex} from './shard-index.js';
 
 /** Who dispatches for a server. */
 export type DispatchState =
@@ -25,6 +26,22 @@
       readonly sentAtMs: number;
     };
 
+/** Grants of a server, with a text that is equal for equal grants. */
+export interface GrantList {
+  readonly index: ShardIndex;
+  /** Shards that were withheld when the list was built. */
+  readonly withheld: string;
+  readonly list: readonly Grant[];
+  readonly signature: string;
+}
+
+/** A lease call that carried grants. */
+export interface SentGrants {
+  readonly seq: number;
+  readonly bootId: string;
+  readonly signature: string;
+}
+
 /** Soft state about one server. */
 export interface ServerSlot {
   readonly id: string;
@@ -37,6 +54,10 @@
   seq: number;
   /** Content of the last lease or permission that was sent. */
   sentSignature: string | null;
+  /** Last lease call of this term with grants, null before the first. */
+  sentGrants: SentGrants | null;
+  /** Grants as computed last. */
+  grants: GrantList | null;
   /** Whether it acknowledged a lease of this term. */
   fenced: boolean;
   status: ServerStatus | null;
@@ -76,6 +97,8 @@
     lastCallAtMs: -Infinity,
     seq: 0,
     sentSignature: null,
+    sentGrants: null,
+    grants: null,
     fenced: false,
     status: null,
     unseenTermSinceMs: null,
--- a/packages/core/src/types/lease.ts
+++ b/packages/core/src/types/lease.ts
@@ -16,15 +16,25 @@
 });
 export type Grant = z.infer<typeof grantSchema>;
 
-/** Body of a lease call; it replaces the server's lease as a whole. */
-export const leaseRequestSchema = z.strictObject({
+/**
+ * Body of a lease call. It replaces the server's lease as a whole, but for the
+ * grants when they are null.
+ */
+const leaseFieldsSchema = z.strictObject({
   zone: z.string(),
   term: z.int().min(0),
   fence: fenceSchema,
   dispatcher: z.string(),
   /** Expiry on the server's own monotonic clock. */
   expiresAtMs: z.number(),
-  grants: z.array(grantSchema),
+  /** Null when the grants of the call `grantsSeq` still apply. */
+  grants: z.array(grantSchema).nullable(),
+  /**
+   * `seq` of the call of this term and boot that brought the present grants;
+   * null in a call with grants. A server whose grants came with another call
+   * refuses: keeping them could keep a grant that was taken away.
+   */
+  grantsSeq: z.int().min(1).nullable().default(null),
   /**
    * Boot whose clock `expiresAtMs` refers to. A server with another `bootId`
    * refuses the call: after a restart its clock may count from zero, and an
@@ -37,6 +47,10 @@
    */
   seq: z.int().min(1),
 });
+export const leaseRequestSchema = leaseFieldsSchema.refine(
+  call => (call.grants === null) === (call.grantsSeq !== null),
+  'either grants or grantsSeq is needed',
+);
 export type LeaseRequest = z.infer<typeof leaseRequestSchema>;
 
 /** Shard of a service that still has requests running. */
@@ -55,6 +69,11 @@
   term: z.int(),
   fence: fenceSchema.nullable(),
   dispatcher: z.string().nullable(),
+  /**
+   * `seq` of the lease call under `term` that brought the present grants.
+   * Null before the first, and for servers that need grants in each call.
+   */
+  grantsSeq: z.int().nullable().default(null),
   busy: z.array(busyShardSchema),
   inFlight: z.int(),
   /** Load as the server reports it; may lag or mislead. */
--- a/packages/core/test/ownership/assigner.test.ts
+++ b/packages/core/test/ownership/assigner.test.ts
@@ -89,10 +89,11 @@
 
   it('keeps the grant until the dispatcher has drained', () => {
     const {bench, drain} = leave();
-    const grants = () =>
-      pick(bench.run(350), 'lease')
-        .filter(c => c.server === 's1')
-        .at(-1)!.request.grants.length;
+    const grants = () => {
+      const leases = pick(bench.run(350), 'lease');
+      expect(leases.some(c => c.server === 's1')).toBe(true);
+      return bench.grantsOf('s1').length;
+    };
     const before = grants();
     bench.statuses.set('s1', {
       busy: drain.message.shards.map(shard => ({service: 'svc', shard})),
@@ -115,7 +116,7 @@
     expect(pick(commands, 'shard-drain')[0]!.message.drain).toBe(false);
     const lease = pick(commands, 'lease').find(c => c.server === 's1')!;
     const [shard] = drain.message.shards;
-    expect(lease.request.grants.map(g => g.shard)).toContain(shard);
+    expect(lease.request.grants!.map(g => g.shard)).toContain(shard);
   });
 
   it('gives the shard back when the log stays down', () => {
--- a/packages/core/test/ownership/bench.ts
+++ b/packages/core/test/ownership/bench.ts
@@ -1,10 +1,13 @@
 /** Bench for the assigner with servers and entry VMs that answer at once. */
+import {expect} from 'vitest';
 import {
   Assigner,
   type AssignerCommand,
   type AssignerOptions,
   type Bundle,
   type EntryVm,
+  type Grant,
+  type LeaseRequest,
   type ServerStatus,
 } from '@wisteriarun/core';
 import {TestLog, makeBundle, type BundleOptions} from './fold.js';
@@ -29,7 +32,13 @@
   readonly assigner: Assigner;
   readonly silent = new Set<string>();
   readonly boots = new Map<string, string>();
+  private readonly granted = new Map<
+    string,
+    {bootId: string; seq: number; grants: readonly Grant[]}
+  >();
   readonly statuses = new Map<string, Partial<ServerStatus>>();
+  /** Whether servers report no `grantsSeq`. */
+  hidesGrants = false;
   readonly seen: AssignerCommand[] = [];
   nowMs = 0;
   logAvailable = true;
@@ -104,6 +113,31 @@
     this.assigner.onPermissionAck({vm, receivedAtMs, msg: {...msg, busy: []}});
   }
 
+  /** Grants that a server holds after the calls so far. */
+  grantsOf(server: string): readonly Grant[] {
+    return this.granted.get(server)?.grants ?? [];
+  }
+
+  /** Keeps the grants as a server does; a call must not rely on others. */
+  private noteGrants(
+    server: string,
+    status: ServerStatus,
+    lease: LeaseRequest | null,
+  ): void {
+    const {bootId} = status;
+    const held = this.granted.get(server);
+    if (lease && lease.bootId !== bootId) {
+      // A restarted server refuses the call.
+    } else if (lease?.grants) {
+      const {seq, grants} = lease;
+      this.granted.set(server, {bootId, seq, grants});
+    } else if (lease) {
+      expect(held).toMatchObject({bootId, seq: lease.grantsSeq});
+    }
+    const now = this.granted.get(server);
+    if (now?.bootId === bootId && !this.hidesGrants) status.grantsSeq = now.seq;
+  }
+
   private answer(command: AssignerCommand): void {
     if (command.kind === 'append' && this.appends) {
       const offset = this.log.append(command.record);
@@ -126,12 +160,14 @@
       term: lease?.term ?? 0,
       fence: lease?.fence ?? null,
       dispatcher: lease?.dispatcher ?? null,
+      grantsSeq: null,
       busy: [],
       inFlight: 0,
       load: 0,
       draining: false,
       ...this.statuses.get(server),
     };
+    this.noteGrants(server, status, lease);
     const receivedAtMs = this.nowMs;
     const sentLease = lease;
     this.assigner.onServerStatus({server, receivedAtMs, status, sentLease});
--- a/packages/core/test/ownership/model.ts
+++ b/packages/core/test/ownership/model.ts
@@ -8,6 +8,7 @@
   shardKey,
   type AssignerCommand,
   type Bundle,
+  type Grant,
   type LeaseRequest,
   type RouterState,
   type ServerStatus,
@@ -37,6 +38,8 @@
   boot = 1;
   bootedAt = 0;
   lease: LeaseRequest | null = null;
+  /** Grants in force, and the call that brought them. */
+  grants: {readonly seq: number; readonly list: readonly Grant[]} | null = null;
   term = 0;
   seq = 0;
   /** Ends of running requests by shard. */
@@ -57,6 +60,7 @@
     this.boot++;
     this.bootedAt = t;
     this.lease = null;
+    this.grants = null;
     this.term = 0;
     this.seq = 0;
     this.running = new Map();
@@ -74,7 +78,7 @@
       this.state !== 'dead' &&
       this.lease !== null &&
       this.clockMs(t) < this.lease.expiresAtMs &&
-      this.lease.grants.some(g => shardKey(g) === shard)
+      this.grants!.list.some(g => shardKey(g) === shard)
     );
   }
 
@@ -83,6 +87,12 @@
     if (request.bootId !== this.bootId) return false;
     if (request.term < this.term) return false;
     if (request.term === this.term && request.seq! <= this.seq) return false;
+    if (request.grants === null) {
+      const known = request.term === this.term ? this.grants : null;
+      if (!known || known.seq !== request.grantsSeq) return false;
+    } else {
+      this.grants = {seq: request.seq, list: request.grants};
+    }
     this.term = request.term;
     this.seq = request.seq!;
     this.lease = request;
@@ -99,6 +109,7 @@
       term: this.term,
       fence: this.lease?.fence ?? null,
       dispatcher: this.lease?.dispatcher ?? null,
+      grantsSeq: this.grants?.seq ?? null,
       busy,
       inFlight: busy.length,
       load: 0,
@@ -168,6 +179,8 @@
   private readonly checksGrants: boolean;
   private readonly deadlineMs: number;
   private readonly oneZone: boolean;
+  /** Grants of the latest call that carried some, by term and server. */
+  private readonly latestGrants = new Map<string, readonly Grant[]>();
   private readonly linkBusyUntil = new Map<string, number>();
   private readonly queue: {at: number; order: number; run: () => void}[] = [];
 
@@ -642,6 +655,7 @@
     id: string,
     request: LeaseRequest | null,
   ): void {
+    const meant = request && this.meantGrants(id, request);
     let open = true;
     this.at(CALL_TIMEOUT_MS, () =>
       this.deliver(vm, () => {
@@ -660,6 +674,7 @@
         return;
       }
       const taken = request === null || server.takeLease(request);
+      if (request && taken) this.checkGrants(server, meant);
       const status = server.status(this.t);
       if (!answer || this.random.next() < this.faults.drop) return;
       this.at(this.latencyMs(), () =>
@@ -687,6 +702,22 @@
     }
   }
 
+  /** Grants that a call leaves a server with, as of when it was sent. */
+  private meantGrants(id: string, {term, grants}: LeaseRequest) {
+    const key = `${term} ${id}`;
+    if (grants) this.latestGrants.set(key, grants);
+    return this.latestGrants.get(key) ?? null;
+  }
+
+  /** An accepted call must not restore or keep a grant that was taken away. */
+  private checkGrants(
+    server: ModelServer,
+    meant: readonly Grant[] | null,
+  ): void {
+    if (server.grants?.list === meant) return;
+    this.violations.push(`t=${this.t} ${server.id} has other grants`);
+  }
+
   private append(
     vm: ModelVm,
     assigner: Assigner,
--- /dev/null
+++ b/packages/core/test/ownership/renewals.test.ts
@@ -0,0 +1,123 @@
+import {describe, expect, it} from 'vitest';
+import {leaseRequestSchema, type LeaseRequest} from '@wisteriarun/core';
+import {Bench, pick, two} from './bench.js';
+import {ModelServer} from './model.js';
+
+const isFull = ({request}: {request: LeaseRequest}) => request.grants !== null;
+
+function leasesOf(bench: Bench, durationMs: number) {
+  return pick(bench.run(durationMs), 'lease').filter(c => c.server === 's1');
+}
+
+/** Bench whose servers hold their shards; no call is outstanding. */
+function settled(): Bench {
+  const bench = new Bench(two());
+  bench.run(1_000);
+  return bench;
+}
+
+/** Lets a shard of s1 leave, so that its next call takes a grant away. */
+function takeShardAway(bench: Bench): void {
+  bench.log.append({kind: 'bundle', body: two({leaveAtMs: 100_000})});
+  const drain = pick(bench.run(100), 'shard-drain')[0]!;
+  const {term, seq, server, service, shards} = drain.message;
+  bench.statuses.set('s1', {busy: [{service, shard: shards[0]!}]});
+  const kind = 'shard-drained';
+  bench.assigner.onShardDrained({kind, term, seq, server, service, shards});
+}
+
+describe('renewals', () => {
+  it('carry no grants while these stay as acknowledged', () => {
+    const leases = leasesOf(settled(), 3_000);
+    expect(leases.length).toBeGreaterThan(5);
+    expect(leases.filter(isFull)).toEqual([]);
+  });
+
+  it('carry the grants until a call that changed them is acknowledged', () => {
+    const bench = settled();
+    const before = bench.grantsOf('s1').length;
+    takeShardAway(bench);
+    bench.silent.add('s1');
+    const lost = leasesOf(bench, 1_000);
+    expect(lost[0]!.request.grants?.length).toBe(before - 1);
+    // The move is given up. The server may have got the first of these calls,
+    // so none may rely on the grants from before it.
+    expect(lost.length).toBeGreaterThan(1);
+    expect(lost.every(isFull)).toBe(true);
+    bench.silent.clear();
+    const leases = leasesOf(bench, 1_000);
+    expect(isFull(leases[0]!)).toBe(true);
+    const {grants} = leases.filter(isFull).at(-1)!.request;
+    expect(bench.grantsOf('s1')).toEqual(grants);
+  });
+
+  it('carry the grants once after a refusal', () => {
+    const bench = settled();
+    bench.assigner.onLeaseRefused({server: 's1', term: 0});
+    expect(leasesOf(bench, 1_000).map(isFull).indexOf(true)).toBe(0);
+    expect(leasesOf(bench, 1_000).filter(isFull)).toEqual([]);
+  });
+
+  it('carry the grants to a restarted server', () => {
+    const bench = settled();
+    bench.boots.set('s1', '2');
+    const leases = leasesOf(bench, 1_000);
+    const first = leases.findIndex(c => c.request.bootId === '2');
+    expect(isFull(leases[first]!)).toBe(true);
+  });
+
+  it('carry the grants each time to a server that does not report them', () => {
+    const bench = settled();
+    bench.hidesGrants = true;
+    bench.run(400);
+    const leases = leasesOf(bench, 1_000);
+    expect(leases.length).toBeGreaterThan(1);
+    expect(leases.every(isFull)).toBe(true);
+  });
+});
+
+describe('a server', () => {
+  const grants = [{service: 'svc', shard: 1, epoch: 4}];
+  const call = (change: Partial<LeaseRequest>): LeaseRequest => ({
+    zone: 'z1',
+    term: 3,
+    fence: {term: 3, seq: 1},
+    dispatcher: 'a',
+    expiresAtMs: 1_000,
+    grants: null,
+    grantsSeq: null,
+    bootId: 's1#1',
+    seq: 1,
+    ...change,
+  });
+
+  it('keeps no grant by a renewal from before it was taken away', () => {
+    const server = new ModelServer('s1', 1);
+    expect(server.takeLease(call({grants}))).toBe(true);
+    const delayed = call({seq: 2, grantsSeq: 1});
+    expect(server.takeLease(call({seq: 3, grants: []}))).toBe(true);
+    // Delayed, and numbered anew: neither may bring the shard back.
+    expect(server.takeLease(delayed)).toBe(false);
+    expect(server.takeLease({...delayed, seq: 4})).toBe(false);
+    expect(server.holds(0, 'svc/1')).toBe(false);
+  });
+
+  it('takes no grants over from another term or boot', () => {
+    const server = new ModelServer('s1', 1);
+    server.takeLease(call({grants}));
+    expect(server.takeLease(call({term: 4, seq: 2, grantsSeq: 1}))).toBe(false);
+    expect(server.status(0).term).toBe(3);
+    server.restart(0);
+    const other = call({bootId: 's1#2', seq: 2, grantsSeq: 1});
+    expect(server.takeLease(other)).toBe(false);
+    expect(server.holds(0, 'svc/1')).toBe(false);
+  });
+
+  it('refuses a call with both forms of grants, or with none', () => {
+    const parse = (c: LeaseRequest) => leaseRequestSchema.safeParse(c).success;
+    expect(parse(call({grants}))).toBe(true);
+    expect(parse(call({grantsSeq: 1}))).toBe(true);
+    expect(parse(call({grants, grantsSeq: 1}))).toBe(false);
+    expect(parse(call({}))).toBe(false);
+  });
+});
--- a/packages/daemon/src/control/term-events.ts
+++ b/packages/daemon/src/control/term-events.ts
@@ -208,7 +208,8 @@
       const fields = {server, dispatcher, fence: text};
       this.emit({kind: 'fence-accepted', fields});
     }
-    if (sight.unserved.size === 0) return;
+    // A call without grants changes none, so it serves no further move.
+    if (grants === null || sight.unserved.size === 0) return;
     const epochs = new Set(grants.map(({epoch}) => epoch));
     for (const [epoch, {service, shards}] of sight.unserved) {
       if (!epochs.has(epoch)) continue;
--- a/testing/bench/src/capacity/control-cost.ts
+++ b/testing/bench/src/capacity/control-cost.ts
@@ -31,7 +31,8 @@
 
 /** Measures leases, steps and the log. */
 export async function measureControl(): Promise<Measured[]> {
-  const lease = await leasePoints();
+  const lease = await leasePoints(false);
+  const renewal = await leasePoints(true);
   const steps = (pairs: readonly [number, number][], by: 0 | 1) =>
     pairs.map(pair => ({x: pair[by], y: stepTime(...pair)}));
   const log = await logPoints();
@@ -42,6 +43,16 @@
       unit: 'B',
       points: lease.bytes,
     },
+    {
+      name: 'lease renewal without grants, per grant held',
+      unit: 'us',
+      points: renewal.time,
+    },
+    {
+      name: 'lease renewal without grants, bytes both ways, per grant held',
+      unit: 'B',
+      points: renewal.bytes,
+    },
     {
       name: 'assigner step, 256 shards, per server',
       unit: 'us',
@@ -81,7 +92,7 @@
   ];
 }
 
-async function leasePoints() {
+async function leasePoints(renews: boolean) {
   const server = await StandinProcess.start('backend-server', ['--id', 's1']);
   const {host, port} = server;
   const client = new BackendClient({id: 's1', host, port, connections: 4});
@@ -91,7 +102,11 @@
   for (const x of [8, 32, 128]) {
     const call = async () => {
       const status = (await client.status()).unwrapOrElse(fail);
-      const lease = leaseOf(x, status, (seq += 1));
+      const full = leaseOf(x, status, (seq += 1));
+      (await client.lease(full)).unwrapOrElse(fail);
+      const lease = renews
+        ? {...full, grants: null, grantsSeq: full.seq}
+        : full;
       const before = socketBytes();
       const us = await cpuOf(async () => {
         for (let i = 0; i < LEASE_CALLS; i++) {
@@ -128,6 +143,7 @@
       shard: i * 31,
       epoch: 1_234_567 + i,
     })),
+    grantsSeq: null,
     bootId: status.bootId,
     seq,
   };
@@ -226,6 +242,7 @@
     term: 2,
     fence: lease?.fence ?? null,
     dispatcher: lease?.dispatcher ?? null,
+    grantsSeq: lease ? (lease.grantsSeq ?? lease.seq) : null,
     busy: [],
     inFlight: 0,
     load: 0,
--- a/testing/bench/src/capacity/main.ts
+++ b/testing/bench/src/capacity/main.ts
@@ -9,21 +9,26 @@
 
 const TOTAL_LIMIT_MS = 175_000;
 
-const {json} = new Command('bench:capacity')
+const {json, only} = new Command('bench:capacity')
   .option('--json', 'print JSON')
+  .option('--only <part>', 'state, peers or control')
   .parse()
-  .opts<{json?: boolean}>();
+  .opts<{json?: boolean; only?: string}>();
 
 setTimeout(() => {
   process.stderr.write(`failed: not finished in ${TOTAL_LIMIT_MS} ms\n`);
   process.exit(1);
 }, TOTAL_LIMIT_MS).unref();
 
-const measured: Measured[] = [
-  ...(await measureState()),
-  ...(await measurePeers()),
-  ...(await measureControl()),
-];
+const parts: Record<string, () => Promise<Measured[]>> = {
+  state: measureState,
+  peers: measurePeers,
+  control: measureControl,
+};
+const measured: Measured[] = [];
+for (const [name, measure] of Object.entries(parts)) {
+  if (only === undefined || only === name) measured.push(...(await measure()));
+}
 const rows = measured.map(({name, unit, points}) => {
   const line = fitLine(points);
   return {
--- a/testing/standins/src/backend-server.ts
+++ b/testing/standins/src/backend-server.ts
@@ -9,6 +9,7 @@
   REASONS,
   STATUS_PATH,
   leaseRequestSchema,
+  type Grant,
   type LeaseRequest,
   type Reason,
   type ServerStatus,
@@ -84,6 +85,12 @@
   reportedLoad: null,
 };
 
+/** Lease in force, with the grants of the call that brought them. */
+interface HeldLease extends Omit<LeaseRequest, 'grants' | 'grantsSeq'> {
+  readonly grants: readonly Grant[];
+  readonly grantsSeq: number;
+}
+
 interface Run {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
@@ -121,7 +128,7 @@
   private behaviour: BackendBehaviour;
   private bootId = randomUUID();
   private term = 0;
-  private lease: LeaseRequest | null = null;
+  private lease: HeldLease | null = null;
   private leaseText = '';
   private running = 0;
   private served = 0;
@@ -197,6 +204,7 @@
       term: this.term,
       fence: this.lease?.fence ?? null,
       dispatcher: this.lease?.dispatcher ?? null,
+      grantsSeq: this.lease?.grantsSeq ?? null,
       busy: [...busy.values()],
       inFlight: this.runs.size,
       load: reportedLoad ?? this.runs.size / slots,
@@ -239,11 +247,17 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const lease = leaseRequestSchema.parse(await readJson(request));
-    if (!this.isNewer(lease)) return sendJson(response, 409, this.status());
+    const call = leaseRequestSchema.parse(await readJson(request));
+    const lease = this.isNewer(call) ? this.withGrants(call) : null;
+    if (!lease) return sendJson(response, 409, this.status());
     this.term = lease.term;
     this.lease = lease;
-    const text = JSON.stringify({...lease, expiresAtMs: 0, seq: 0});
+    const text = JSON.stringify({
+      ...lease,
+      expiresAtMs: 0,
+      seq: 0,
+      grantsSeq: 0,
+    });
     if (text !== this.leaseText) {
       this.leaseText = text;
       this.record({
@@ -260,6 +274,18 @@
     sendJson(response, 200, this.status());
   }
 
+  /**
+   * Lease of a call; null when the call relies on grants that this boot does
+   * not hold under the call's term.
+   */
+  private withGrants(call: LeaseRequest): HeldLease | null {
+    const {grants, grantsSeq, seq} = call;
+    if (grants) return {...call, grants, grantsSeq: seq};
+    const held = this.lease;
+    if (held?.term !== call.term || held.grantsSeq !== grantsSeq) return null;
+    return {...call, grants: held.grants, grantsSeq};
+  }
+
   /** A delayed call of the same term could bring a revoked grant back. */
   private isNewer({term, seq, bootId}: LeaseRequest): boolean {
     if (bootId !== undefined && bootId !== this.bootId) return false;
--- a/testing/standins/test/backend-server.test.ts
+++ b/testing/standins/test/backend-server.test.ts
@@ -27,9 +27,12 @@
 
 const urlOf = ({host, port}: Address) => `http://${host}:${port}`;
 
+let lastSeq = 0;
+
 async function grant(url: string, change: Record<string, unknown> = {}) {
   const status = (await (await fetch(`${url}/wisteriarun/status`)).json()) as {
     clockMs: number;
+    bootId: string;
   };
   return fetch(`${url}/wisteriarun/lease`, {
     method: 'PUT',
@@ -40,6 +43,8 @@
       dispatcher: 'e1',
       expiresAtMs: status.clockMs + 1_200,
       grants: [{service: 'orders', shard: 3, epoch: 10}],
+      bootId: status.bootId,
+      seq: ++lastSeq,
       ...change,
     }),
   });
@@ -77,6 +82,32 @@
     expect(await refused.json()).toMatchObject({term: 5});
   });
 
+  // A renewal that is lost, late or sent again must not decide about grants.
+  it('keeps the grants of the call that a renewal names, or refuses', async () => {
+    const {server, url} = await startServer();
+    const renew = async (change: Record<string, unknown>) => {
+      const response = await grant(url, {grants: null, ...change});
+      return response.status;
+    };
+    expect(await renew({seq: 1, grantsSeq: 1})).toBe(409);
+    expect((await grant(url, {seq: 2})).status).toBe(200);
+    expect(await renew({seq: 3, grantsSeq: 2})).toBe(200);
+    expect(server.status().grantsSeq).toBe(2);
+    expect((await send(url)).status).toBe(200);
+    expect(await renew({term: 6, seq: 4, grantsSeq: 2})).toBe(409);
+    expect(server.status().term).toBe(5);
+    expect((await grant(url, {seq: 5, grants: []})).status).toBe(200);
+    expect(await renew({seq: 4, grantsSeq: 2})).toBe(409);
+    expect(await renew({seq: 6, grantsSeq: 2})).toBe(409);
+    expect(await renew({seq: 7, grantsSeq: 5})).toBe(200);
+    const late = await sendOnce(`${url}/orders/k`, {headers: HEADERS});
+    expect(late.statusCode).toBe(421);
+    server.crash();
+    // The client finds its connection closed only when it uses it.
+    await fetch(url).catch(() => null);
+    expect(await renew({seq: 8, grantsSeq: 5})).toBe(409);
+  });
+
   it.each([
     ['stale epoch', {}, {'wisteriarun-epoch': '9'}, 421, 'stale-epoch'],
     ['other shard', {}, {'wisteriarun-shard': '4'}, 421, 'stale-epoch'],
