Index the shards of a load report once

Cause: each assigner step, 40 a second, built a map of all reported loads.

Ruled out for now: skipping the planning of balance, which also depends on time, answers and moves.

Change: the map of a report is kept as long as the report.

--- a/packages/core/src/core/ownership/assigner/planner.ts
+++ b/packages/core/src/core/ownership/assigner/planner.ts
@@ -1,5 +1,5 @@
 /** Plans moves after losses and for balance. */
-import type {AssignReason} from '../../../types/index.js';
+import type {AssignReason, ServerLoad} from '../../../types/index.js';
 import {
   MAX_BALANCE_MOVES,
   placeShards,
@@ -16,6 +16,9 @@
 
 /** Decides which shards move where. */
 export class Planner {
+  /** Loads by shard of each report, which many steps read. */
+  private readonly loadsOf = new WeakMap<ServerLoad, Map<string, number>>();
+
   /**
    * @param state - State of the term.
    * @param servers - Condition of the servers.
@@ -148,19 +151,24 @@
   }
 
   private loadOf(owned: OwnedShard): number {
-    const report = this.state.loads.get(owned.server ?? '');
-    const load = report?.shards.find(
-      s => s.service === owned.service && s.shard === owned.shard,
-    );
-    return load?.busySlots ?? 0;
+    return this.loadsAt(owned.server ?? '')?.get(shardKey(owned)) ?? 0;
+  }
+
+  private loadsAt(server: string): ReadonlyMap<string, number> | null {
+    const report = this.state.loads.get(server);
+    if (!report) return null;
+    const known = this.loadsOf.get(report);
+    if (known) return known;
+    const loads = new Map(report.shards.map(s => [shardKey(s), s.busySlots]));
+    this.loadsOf.set(report, loads);
+    return loads;
   }
 
   /** Shards of a service on their owners, moves in flight counted as done. */
   private placed(view: View, service: string): PlacedShard[] {
     const result: PlacedShard[] = [];
     for (const [owner, shards] of view.index.byServer) {
-      const report = this.state.loads.get(owner)?.shards;
-      const loads = new Map(report?.map(s => [shardKey(s), s.busySlots]));
+      const loads = this.loadsAt(owner);
       for (const s of shards) {
         if (s.service !== service) continue;
         const {shard} = s;
@@ -169,7 +177,7 @@
           service,
           shard,
           server,
-          load: loads.get(shardKey(s)) ?? 0,
+          load: loads?.get(shardKey(s)) ?? 0,
         });
       }
     }
