Limit the wait of a planned dispatcher change to 1,000 ms

Cause: the old dispatcher waited for all requests in flight before it confirmed a stop, so a 6 s upload blocked the other keys of its server. The server also checked the fence again before the effect, so an upload could not outlast the change.

A stop waits at most 1,000 ms; what still runs goes on under the old dispatcher and is handed over as unknown. Servers that do not check grants still wait for everything. Closing the host waits for all of it. A request that waited for an earlier attempt when its dispatcher stopped is refused as not run at once.

--- a/packages/core/src/types/peer-messages.ts
+++ b/packages/core/src/types/peer-messages.ts
@@ -115,7 +115,7 @@
   next: z.string(),
 });
 
-/** Confirms that nothing is in flight to the server any more. */
+/** Confirms that a dispatcher starts no more requests at the server. */
 export const dispatchStoppedSchema = z.object({
   kind: z.literal('dispatch-stopped'),
   server: z.string(),
--- a/packages/daemon/src/request/dispatcher-host.ts
+++ b/packages/daemon/src/request/dispatcher-host.ts
@@ -30,6 +30,9 @@
   type RouteSource,
 } from './types.js';
 
+/** Longest wait of a planned change for requests in flight. */
+const STOP_WAIT_MS = 1_000;
+
 /** Parts that the dispatcher role uses. */
 export interface DispatcherHostOptions {
   readonly routes: RouteSource;
@@ -53,8 +56,10 @@
   private readonly crashes = new CrashGuard();
   private readonly custody: ShardCustody;
   private readonly appointments = new Map<string, Appointment>();
-  /** Servers whose requests in flight finish before a handover. */
+  /** Servers whose dispatching ends and whose records are not exported yet. */
   private readonly stopping = new Set<string>();
+  /** Former dispatchers with requests that still run. */
+  private readonly finishing = new Map<ServerDispatcher, Promise<void>>();
   private readonly listeners = new Set<CrashListener>();
 
   /**
@@ -140,13 +145,19 @@
   }
 
   /**
-   * Ends dispatching for a server and closes its connections.
+   * Ends dispatching for a server. Requests in flight finish on their
+   * connections, which are closed afterwards.
+   *
+   * A server that checks grants refuses what has not started under a former
+   * fence, so the wait for its requests is limited: a long upload would keep
+   * all its shards unavailable. The dispatcher of another server is its fence
+   * and waits for all requests.
    *
    * @param server - Server id.
    * @param term - Term of the order to stop.
-   * @returns Resolves when nothing is in flight, with the attempt records for
-   * the next dispatcher; they are empty when dispatching was given back
-   * meanwhile.
+   * @returns Resolves with the attempt records for the next dispatcher, in
+   * which requests that still run are unknown; they are empty when dispatching
+   * was given back meanwhile.
    */
   async stop(server: string, term: number): Promise<Handover[]> {
     const dispatcher = this.servers.get(server);
@@ -154,7 +165,9 @@
     const fence = this.appointments.get(server)?.fence;
     this.stopping.add(server);
     dispatcher.setFence(null);
-    await dispatcher.whenIdle();
+    await dispatcher.whenIdle(
+      dispatcher.checksGrants ? STOP_WAIT_MS : undefined,
+    );
     if (!this.stopping.delete(server)) return [];
     const handovers = fence
       ? this.custody.exportStopped(server, fence, term)
@@ -162,7 +175,7 @@
     this.servers.delete(server);
     this.appointments.delete(server);
     this.onRoutesChanged();
-    await dispatcher.close();
+    this.finish(dispatcher);
     return handovers;
   }
 
@@ -262,6 +275,9 @@
    */
   onServerBootChanged(server: string, bootId: string): void {
     this.servers.get(server)?.onBoot(bootId);
+    for (const dispatcher of this.finishing.keys()) {
+      if (dispatcher.serverId === server) dispatcher.onBoot(bootId);
+    }
   }
 
   /**
@@ -287,6 +303,19 @@
    */
   async close(): Promise<void> {
     await Promise.all([...this.servers.keys()].map(id => this.stop(id, 0)));
+    await Promise.all(this.finishing.values());
+  }
+
+  /** Closes the connections of a stopped dispatcher when it is idle. */
+  private finish(dispatcher: ServerDispatcher): void {
+    const closed = dispatcher
+      .whenIdle()
+      .then(() => dispatcher.close())
+      .catch(() => {})
+      .then(() => {
+        this.finishing.delete(dispatcher);
+      });
+    this.finishing.set(dispatcher, closed);
   }
 
   private appoint(
--- a/packages/daemon/src/request/server-dispatcher.ts
+++ b/packages/daemon/src/request/server-dispatcher.ts
@@ -183,14 +183,34 @@
     return new Promise(resolve => addWaiter(this.drainWaiters, id, resolve));
   }
 
+  /** Id of the server. */
+  get serverId(): string {
+    return this.server.id;
+  }
+
+  /** Whether the server itself checks who sends it a request. */
+  get checksGrants(): boolean {
+    return this.server.checksGrants;
+  }
+
   /**
    * Waits until nothing is in flight.
    *
-   * @returns Resolves when idle.
+   * @param timeoutMs - Longest wait in milliseconds; unlimited when left out.
+   * @returns Resolves when idle or after the wait.
    */
-  whenIdle(): Promise<void> {
+  whenIdle(timeoutMs?: number): Promise<void> {
     if (this.idle) return Promise.resolve();
-    return new Promise(resolve => this.idleWaiters.add(resolve));
+    return new Promise(resolve => {
+      const done = () => {
+        clearTimeout(timer);
+        this.idleWaiters.delete(done);
+        resolve();
+      };
+      const timer =
+        timeoutMs === undefined ? undefined : setTimeout(done, timeoutMs);
+      this.idleWaiters.add(done);
+    });
   }
 
   /**
@@ -264,6 +284,11 @@
       const earlier = await this.earlierAttempt(attempt, request, deadlineMs);
       if (earlier) return earlier;
     }
+    // Dispatching may have ended while an earlier attempt ran.
+    if (!this.fence) {
+      this.endAttempt(attempt, {kind: 'not-run'});
+      return this.failed(requestFailure('wrong-dispatcher'), print);
+    }
     return this.enqueue(request, print, attempt, deadlineMs);
   }
 
@@ -634,8 +659,7 @@
 
   private settleIdle(): void {
     if (!this.idle) return;
-    for (const resolve of this.idleWaiters) resolve();
-    this.idleWaiters.clear();
+    for (const resolve of [...this.idleWaiters]) resolve();
   }
 
   private now(): number {
--- a/packages/daemon/test/handover.test.ts
+++ b/packages/daemon/test/handover.test.ts
@@ -275,6 +275,58 @@
     );
   });
 
+  // Guards against a long upload that blocks all other keys of its server, and
+  // against a repeat of a filing that the former dispatcher still runs.
+  it('does not wait longer than 1 s for a request in flight', async () => {
+    const id = newId(world);
+    world.stalled.set(id, () => {});
+    const pending = vm('p').post(id, 0, 10_000);
+    await new Promise(resolve => setTimeout(resolve, 5));
+    world.stop('x', 'r');
+    const startMs = performance.now();
+    await vm('p').deliver();
+    while (world.holderOf('x') !== 'r') {
+      await new Promise(resolve => setTimeout(resolve, 10));
+      expect(performance.now() - startMs).toBeLessThan(2_000);
+    }
+    expect(performance.now() - startMs).toBeGreaterThan(990);
+    await settle('r', 'p');
+    const fresh = newId(world);
+    expect(await vm('r').post(fresh)).toBe(`ran ${fresh}`);
+    expect(await vm('r').post(id)).toBe(UNKNOWN);
+    let closed = false;
+    const closing = vm('p')
+      .host.close()
+      .then(() => (closed = true));
+    await new Promise(resolve => setTimeout(resolve, 20));
+    expect(closed).toBe(false);
+    world.stalled.get(id)!();
+    expect(await pending).toBe(`ran ${id}`);
+    await closing;
+    expect(world.runs.get(id)).toBe(1);
+  });
+
+  it('waits for all requests to a server that does not check', async () => {
+    world.checksGrants = false;
+    await settle('p');
+    world.appoint('y', 'p');
+    await settle('p');
+    const id = newId(world);
+    world.move(0, 'y');
+    await settle('p');
+    world.stalled.set(id, () => {});
+    const pending = vm('p').post(id, 0, 10_000);
+    await new Promise(resolve => setTimeout(resolve, 5));
+    world.stop('y', 'r');
+    await vm('p').deliver();
+    await new Promise(resolve => setTimeout(resolve, 1_200));
+    expect(world.holderOf('y')).toBe('p');
+    world.stalled.get(id)!();
+    expect(await pending).toBe(`ran ${id}`);
+    await new Promise(resolve => setTimeout(resolve, 5));
+    expect(world.holderOf('y')).toBe('r');
+  });
+
   it('never lets a request run twice, whatever is paused or lost', async () => {
     console.log(`fast-check seed ${seed}`);
     const tally = {ran: 0, replayed: 0};
--- a/testing/standins/test/backend-server.test.ts
+++ b/testing/standins/test/backend-server.test.ts
@@ -18,6 +18,7 @@
 } from '@wisteriarun/standins';
 
 const open: BackendServer[] = [];
+let leaseSeq = 0;
 
 async function startServer(options: Partial<BackendServerOptions> = {}) {
   const server = new BackendServer({id: 's1', serviceTimeMs: 1, ...options});
@@ -29,6 +30,7 @@
 
 async function grant(url: string, change: Record<string, unknown> = {}) {
   const status = (await (await fetch(`${url}/wisteriarun/status`)).json()) as {
+    bootId: string;
     clockMs: number;
   };
   return fetch(`${url}/wisteriarun/lease`, {
@@ -40,6 +42,8 @@
       dispatcher: 'e1',
       expiresAtMs: status.clockMs + 1_200,
       grants: [{service: 'orders', shard: 3, epoch: 10}],
+      bootId: status.bootId,
+      seq: ++leaseSeq,
       ...change,
     }),
   });
@@ -107,6 +111,53 @@
     expect(effects(server)).toEqual(['started', 'refused']);
   });
 
+  // Guards against a planned change of dispatcher that breaks long requests,
+  // and against an effect after the shard has moved.
+  it.each([
+    ['new fence', {fence: {term: 5, seq: 2}}, 200, 'done'],
+    ['shard withdrawn', {grants: []}, 502, 'refused'],
+    [
+      'new epoch',
+      {grants: [{service: 'orders', shard: 3, epoch: 11}]},
+      502,
+      'refused',
+    ],
+  ])(
+    'checks ownership only before the effect: %s',
+    async (_, change, status, effect) => {
+      const {server, url} = await startServer({
+        serviceTimeMs: 100,
+        serviceTimeShape: 'fixed',
+      });
+      await grant(url);
+      const sent = send(url, {method: 'PUT', body: 'v1'});
+      await sleep(40);
+      await grant(url, change);
+      expect((await sent).status).toBe(status);
+      expect(effects(server)).toEqual(['started', effect]);
+    },
+  );
+
+  it('refuses a request under a former fence that waits for a slot', async () => {
+    const {server, url} = await startServer({
+      slots: 1,
+      extraRequests: 1,
+      serviceTimeMs: 100,
+      serviceTimeShape: 'fixed',
+    });
+    await grant(url);
+    const first = send(url);
+    await sleep(20);
+    const second = sendOnce(`${url}/orders/k`, {headers: HEADERS});
+    await sleep(20);
+    await grant(url, {fence: {term: 5, seq: 2}});
+    expect((await first).status).toBe(200);
+    const {headers} = await second;
+    expect(headers['wisteriarun-outcome']).toBe('not-run');
+    expect(headers['wisteriarun-reason']).toBe('stale-fence');
+    expect(effects(server)).toEqual(['started', 'done', 'refused']);
+  });
+
   it('keeps the lease on its own clock with offset and drift', async () => {
     const {server, url} = await startServer({
       clockOffsetMs: -1e9,
