Take back drains that last longer than 1,000 ms

Cause: a planned move waited for the requests in flight, so an upload made its shard unavailable until it ended. A dispatcher confirms a drain without knowing the requests that a former dispatcher left running; the withdrawn grant would then refuse their effects.

Change: moves for balance and before the date of a leaving batch are abandoned with the cause drain-timeout; the shard rests for 10 s, doubling up to 5 min. A shard stays granted while its server reports it busy.

--- a/packages/core/src/core/ownership/assigner/drains.ts
+++ b/packages/core/src/core/ownership/assigner/drains.ts
@@ -6,10 +6,17 @@
 import {dispatcherOf, sameFence, type ServerSlot} from '../server-slot.js';
 import type {Proofs} from './proofs.js';
 import type {Servers} from './servers.js';
-import type {AssignerState, View} from './state.js';
+import {isPastLeaving, type AssignerState, type View} from './state.js';
 
+/** Cause of a move that is given up because its drain takes too long. */
+const DRAIN_TIMEOUT = 'drain-timeout';
 /** Interval at which an unanswered drain is sent again. */
 const DRAIN_RESEND_MS = 1_000;
+/**
+ * Longest time for which a shard is held back for a planned move. A longer
+ * drain would make it unavailable for the length of an upload.
+ */
+const DRAIN_LIMIT_MS = 1_000;
 /** Log outage after which drained shards go back to their owner. */
 const LOG_OUTAGE_GIVE_BACK_MS = 1_000;
 
@@ -45,7 +52,8 @@
       if (from !== undefined && from !== move.drainTo) continue;
       // The answer to a drain that was taken back must not count for this one.
       if (seq < move.drainSeq || !sameFence(move.drainFence, fence)) continue;
-      leaveDispatcher(slot, move);
+      move.drained = true;
+      leaveWhenIdle(slot, move);
     }
   }
 
@@ -58,7 +66,12 @@
   noteLeaseAck(slot: ServerSlot, lease: LeaseRequest): void {
     const busy = new Set(slot.status!.busy.map(shardKey));
     for (const move of this.state.moves.list()) {
-      if (move.from !== slot.id || move.stage !== 'server') continue;
+      if (move.from !== slot.id) continue;
+      if (move.stage === 'dispatcher' && move.drained) {
+        leaveWhenIdle(slot, move);
+        continue;
+      }
+      if (move.stage !== 'server') continue;
       if ((lease.seq ?? 0) < move.minSeq || busy.has(shardKey(move))) continue;
       move.stage = 'ready';
     }
@@ -100,7 +113,9 @@
     move: MoveInFlight,
     cause: string,
   ): Generator<AssignerCommand> {
-    this.state.moves.remove(move, view.nowMs);
+    const {moves} = this.state;
+    moves.remove(move, view.nowMs);
+    if (cause === DRAIN_TIMEOUT) moves.noteFailedDrain(move, view.nowMs);
     if (move.drainTo !== null) {
       yield this.drainCommand(view, move.drainTo, [move], false);
     }
@@ -124,8 +139,12 @@
     if (!sameFence(slot.publishedFence, d.fence)) return;
     const resend = view.nowMs >= move.drainSentAtMs + DRAIN_RESEND_MS;
     const known = sameFence(move.drainFence, d.fence);
-    if (known && !resend) return;
-    if (!known) move.drainSeq = Infinity;
+    if (known && (move.drained || !resend)) return;
+    if (!known) {
+      move.drainSeq = Infinity;
+      move.drained = false;
+    }
+    move.drainStartedAtMs ??= view.nowMs;
     move.drainFence = d.fence;
     move.drainTo = d.vm;
     move.drainSentAtMs = view.nowMs;
@@ -143,6 +162,7 @@
     }
     if (!this.proofs.isQuiet(view, slot)) return 'dispatcher-lost';
     if (!this.servers.mayTakeShards(view, move.to)) return 'target-lost';
+    if (this.isDrainLate(view, slot, move)) return DRAIN_TIMEOUT;
     const outageMs = view.nowMs - (this.state.logLostAtMs ?? view.nowMs);
     if (move.stage === 'ready' && outageMs >= LOG_OUTAGE_GIVE_BACK_MS) {
       return 'log-unavailable';
@@ -150,6 +170,20 @@
     return null;
   }
 
+  /** Whether requests in flight keep the shard from moving for too long. */
+  private isDrainLate(
+    view: View,
+    slot: ServerSlot,
+    move: MoveInFlight,
+  ): boolean {
+    const {stage, reason, drainStartedAtMs} = move;
+    if (reason !== 'balance' && reason !== 'leaving') return false;
+    if (isPastLeaving(view, slot.server)) return false;
+    const waitedMs = view.nowMs - (drainStartedAtMs ?? view.nowMs);
+    if (waitedMs < DRAIN_LIMIT_MS) return false;
+    return stage === 'dispatcher' || (stage === 'server' && isBusy(slot, move));
+  }
+
   private drainCommand(
     view: View,
     to: string,
@@ -189,6 +223,20 @@
   return {service, shard, from: from ?? '', to};
 }
 
+function isBusy(slot: ServerSlot, move: MoveInFlight): boolean {
+  const busy = slot.status?.busy ?? [];
+  return busy.some(shard => shardKey(shard) === shardKey(move));
+}
+
+/**
+ * The server may still run requests of a former dispatcher, which its present
+ * one does not know. It would refuse their effects without the grant.
+ */
+function leaveWhenIdle(slot: ServerSlot, move: MoveInFlight): void {
+  if (slot.server.checksGrants && isBusy(slot, move)) return;
+  leaveDispatcher(slot, move);
+}
+
 /** The dispatcher is drained; the server's own check follows. */
 function leaveDispatcher(slot: ServerSlot, move: MoveInFlight): void {
   move.stage = slot.server.checksGrants ? 'server' : 'ready';
--- a/packages/core/src/core/ownership/assigner/planner.ts
+++ b/packages/core/src/core/ownership/assigner/planner.ts
@@ -12,7 +12,7 @@
 import type {OwnedShard} from '../shard-index.js';
 import type {Proofs} from './proofs.js';
 import type {Servers} from './servers.js';
-import type {AssignerState, View} from './state.js';
+import {isPastLeaving, type AssignerState, type View} from './state.js';
 
 /** Decides which shards move where. */
 export class Planner {
@@ -91,12 +91,19 @@
    *
    * @param view - Inputs of the step.
    * @param owned - Shard with an owner.
-   * @returns False while it moves, rests, or may be run by a lost dispatcher.
+   * @returns False while it moves, rests, may be run by a lost dispatcher, or
+   * could not be drained a short time ago.
    */
   mayDrain(view: View, owned: OwnedShard): boolean {
     const {slots, moves} = this.state;
     const slot = slots.get(owned.server!);
     if (!slot) return false;
+    if (
+      moves.isDrainPostponed(owned, view.nowMs) &&
+      !isPastLeaving(view, slot.server)
+    ) {
+      return false;
+    }
     if (slot.server.checksGrants) return moves.get(owned) === undefined;
     return this.proofs.isQuiet(view, slot) && moves.mayMove(owned, view.nowMs);
   }
--- a/packages/core/src/core/ownership/assigner/records.ts
+++ b/packages/core/src/core/ownership/assigner/records.ts
@@ -61,7 +61,9 @@
     const folded = (s: PendingAppend[number]) =>
       view.index.epochOf(s) !== s.baseEpoch;
     for (const move of this.state.moves.list()) {
-      if (folded(move)) this.state.moves.remove(move, view.nowMs);
+      if (!folded(move)) continue;
+      this.state.moves.remove(move, view.nowMs);
+      this.state.moves.forgetFailedDrains(move);
     }
     if (this.pending?.every(folded)) this.pending = null;
   }
--- a/packages/core/src/core/ownership/assigner/state.ts
+++ b/packages/core/src/core/ownership/assigner/state.ts
@@ -76,6 +76,17 @@
   }
 }
 
+/**
+ * Tells whether the date of a server's leaving batch has passed.
+ *
+ * @param view - Inputs of the step.
+ * @param server - Server.
+ * @returns False also when its batch does not leave.
+ */
+export function isPastLeaving(view: View, {batch}: Server): boolean {
+  return view.wallMs >= (view.index.leaveAtMs.get(batch) ?? Infinity);
+}
+
 /**
  * Names the holder of a permission in its ledger.
  *
--- a/packages/core/src/core/ownership/move-table.ts
+++ b/packages/core/src/core/ownership/move-table.ts
@@ -2,6 +2,11 @@
 import type {Fence} from '../../types/index.js';
 import {SHARD_REST_MS, shardKey, type Move, type ShardId} from './placement.js';
 
+/** First time for which a shard is left where it is after a failed drain. */
+const FIRST_RETRY_MS = 10_000;
+/** Longest such time; it doubles with each failed drain. */
+const MAX_RETRY_MS = 300_000;
+
 /**
  * Stage of a move: the dispatcher drains, the source acknowledges a lease
  * without the shard, the old owner is proven stopped, the record is appended.
@@ -18,6 +23,10 @@
   drainTo: string | null;
   drainFence: Fence | null;
   drainSentAtMs: number;
+  /** When the first drain of the move was sent. */
+  drainStartedAtMs: number | null;
+  /** Whether the dispatcher under `drainFence` has confirmed. */
+  drained: boolean;
   /** First order to drain under that fence. */
   drainSeq: number;
   /** First lease call without the shard. */
@@ -28,6 +37,10 @@
 export class MoveTable {
   private readonly moves = new Map<string, MoveInFlight>();
   private readonly movedAtMs = new Map<string, number>();
+  private readonly failedDrains = new Map<
+    string,
+    {readonly retryMs: number; readonly untilMs: number}
+  >();
 
   /**
    * Adds a move.
@@ -50,6 +63,8 @@
       drainTo: null,
       drainFence: null,
       drainSentAtMs: -Infinity,
+      drainStartedAtMs: null,
+      drained: false,
       drainSeq: Infinity,
       minSeq: Infinity,
     };
@@ -98,6 +113,42 @@
     this.movedAtMs.set(shardKey(id), nowMs);
   }
 
+  /**
+   * Notes that a shard could not be drained in time.
+   *
+   * @param id - Shard.
+   * @param nowMs - Own monotonic time.
+   */
+  noteFailedDrain(id: ShardId, nowMs: number): void {
+    const former = this.failedDrains.get(shardKey(id));
+    const retryMs = former
+      ? Math.min(former.retryMs * 2, MAX_RETRY_MS)
+      : FIRST_RETRY_MS;
+    const untilMs = nowMs + retryMs;
+    this.failedDrains.set(shardKey(id), {retryMs, untilMs});
+  }
+
+  /**
+   * Forgets the failed drains of a shard that has moved.
+   *
+   * @param id - Shard.
+   */
+  forgetFailedDrains(id: ShardId): void {
+    this.failedDrains.delete(shardKey(id));
+  }
+
+  /**
+   * Tells whether a drain of a shard is not to be tried again yet.
+   *
+   * @param id - Shard.
+   * @param nowMs - Own monotonic time.
+   * @returns True for a growing time after each failed drain.
+   */
+  isDrainPostponed(id: ShardId, nowMs: number): boolean {
+    const failed = this.failedDrains.get(shardKey(id));
+    return failed !== undefined && nowMs < failed.untilMs;
+  }
+
   /**
    * Tells whether a balance move of a shard may start.
    *
@@ -106,7 +157,7 @@
    * @returns False while it moves or rests.
    */
   mayMove(id: ShardId, nowMs: number): boolean {
-    if (this.get(id)) return false;
+    if (this.get(id) || this.isDrainPostponed(id, nowMs)) return false;
     const at = this.movedAtMs.get(shardKey(id));
     return at === undefined || nowMs - at >= SHARD_REST_MS;
   }
