Keep lease clients of servers whose address is unchanged

Cause: prune compared object identity, so each new bundle closed all clients and cut lease calls in flight. Change: host, port and connections are compared.

--- a/packages/daemon/src/control/server-clients.ts
+++ b/packages/daemon/src/control/server-clients.ts
@@ -39,10 +39,13 @@
     return this.call(server, client => client.status());
   }
 
-  /** Closes clients whose server changed or left the bundle. */
+  /**
+   * Closes clients whose server changed its address or left the bundle. Others
+   * are kept: each new bundle would cut lease calls in flight.
+   */
   prune(): void {
     for (const [id, {server, client}] of this.open) {
-      if (this.find(id) === server) continue;
+      if (hasSameAddress(this.find(id), server)) continue;
       this.open.delete(id);
       void client.close();
     }
@@ -67,10 +70,16 @@
 
   private clientOf(server: Server): BackendClient {
     const known = this.open.get(server.id);
-    if (known && known.server === server) return known.client;
+    if (known && hasSameAddress(server, known.server)) return known.client;
     if (known) void known.client.close();
     const client = new BackendClient(server);
     this.open.set(server.id, {server, client});
     return client;
   }
 }
+
+function hasSameAddress(a: Server | null, b: Server): boolean {
+  return (
+    a?.host === b.host && a.port === b.port && a.connections === b.connections
+  );
+}
