Carry the fence in dispatcher stops and their answers

Cause: a late second confirmation could count for a later stop, and a late copy of an order could end a later appointment. Change: both messages carry the fence of the row; the assigner compares it, and a dispatcher ignores the order when its row has a newer fence.

--- a/packages/core/src/core/ownership/assigner/dispatchers.ts
+++ b/packages/core/src/core/ownership/assigner/dispatchers.ts
@@ -2,7 +2,7 @@
 import {certainExpiryMs} from '../../../types/index.js';
 import type {AssignerCommand, PeerMessageOf} from '../assigner-types.js';
 import {DispatchPlan} from '../dispatch-plan.js';
-import {dispatcherOf, type ServerSlot} from '../server-slot.js';
+import {dispatcherOf, sameFence, type ServerSlot} from '../server-slot.js';
 import type {FormerPermissions} from './former-permissions.js';
 import type {Servers} from './servers.js';
 import {permissionEndMs, type AssignerState, type View} from './state.js';
@@ -33,7 +33,9 @@
   noteStopped(message: PeerMessageOf<'dispatch-stopped'>, from?: string): void {
     const slot = this.state.slots.get(message.server);
     if (!slot || message.term !== this.state.term) return;
-    if (from !== undefined && from !== dispatcherOf(slot)?.vm) return;
+    const current = dispatcherOf(slot);
+    if (from !== undefined && from !== current?.vm) return;
+    if (!sameFence(message.fence, current?.fence ?? null)) return;
     this.plan.noteStopped(slot);
   }
 
--- a/packages/core/src/core/ownership/dispatch-plan.ts
+++ b/packages/core/src/core/ownership/dispatch-plan.ts
@@ -207,6 +207,7 @@
         zone: this.zone,
         term: this.term,
         server: slot.id,
+        fence: d.fence,
         next,
       },
     };
--- a/packages/core/src/types/peer-messages.ts
+++ b/packages/core/src/types/peer-messages.ts
@@ -112,6 +112,8 @@
   zone: z.string(),
   term: offsetSchema,
   server: z.string(),
+  /** Fence that is to end. */
+  fence: fenceSchema,
   next: z.string(),
 });
 
@@ -120,6 +122,8 @@
   kind: z.literal('dispatch-stopped'),
   server: z.string(),
   term: offsetSchema,
+  /** Fence of the order, so that a late answer does not count for another. */
+  fence: fenceSchema,
 });
 
 /** Attempt and crash records for a new dispatcher of a shard or server. */
--- a/packages/core/test/ownership/assigner.test.ts
+++ b/packages/core/test/ownership/assigner.test.ts
@@ -48,8 +48,14 @@
     expect([stop.to, stop.message.next]).toEqual([old, next]);
     expect(dispatcherOf(bench, 's1')).toBe(old);
     bench.silent.add('s1');
-    const term = stop.message.term;
-    const message = {kind: 'dispatch-stopped', server: 's1', term} as const;
+    const {term, fence} = stop.message;
+    const kind = 'dispatch-stopped';
+    const message = {kind, server: 's1', term, fence} as const;
+    // A late answer to the stop of an earlier fence must not count.
+    const earlier = {...fence, seq: fence.seq - 1};
+    bench.assigner.onDispatchStopped({...message, fence: earlier}, old);
+    bench.run(50);
+    expect(dispatcherOf(bench, 's1')).toBe(old);
     bench.assigner.onDispatchStopped(message, next);
     bench.run(50);
     expect(dispatcherOf(bench, 's1')).toBe(old);
--- a/packages/core/test/ownership/entry-model.ts
+++ b/packages/core/test/ownership/entry-model.ts
@@ -101,13 +101,12 @@
 
   /** Confirms when nothing is in flight to the server. */
   takeStop(
-    {server, term}: PeerMessageOf<'dispatch-stop'>,
+    {server, term, fence}: PeerMessageOf<'dispatch-stop'>,
     folded: RouterState,
     confirm: () => void,
   ): void {
     if (term < termOf(folded)) return;
-    const row = this.rows.get(server);
-    if (row) this.stops.set(server, {fence: row.fence, term});
+    this.stops.set(server, {fence, term});
     this.when(() => !this.inFlight.some(r => r.server === server), confirm);
   }
 
--- a/packages/core/test/ownership/model.ts
+++ b/packages/core/test/ownership/model.ts
@@ -552,7 +552,7 @@
         return;
       }
       case 'dispatch-stop': {
-        const {term, server} = command.message;
+        const {term, server, fence} = command.message;
         if (!this.checksGrants) {
           this.sendStop(vm, assigner, command);
           return;
@@ -563,6 +563,7 @@
               kind: 'dispatch-stopped',
               term,
               server,
+              fence,
             }),
           ),
         );
@@ -625,12 +626,12 @@
     assigner: Assigner,
     {to, message}: Extract<AssignerCommand, {kind: 'dispatch-stop'}>,
   ): void {
-    const {term, server} = message;
+    const {term, server, fence} = message;
     const kind = 'dispatch-stopped';
     this.send(vm, to, false, holder =>
       holder.entry.takeStop(message, this.state(holder), () =>
         this.send(holder, vm.id, false, () =>
-          assigner.onDispatchStopped({kind, term, server}, holder.id),
+          assigner.onDispatchStopped({kind, term, server, fence}, holder.id),
         ),
       ),
     );
--- a/packages/daemon/src/control/peer-duties.ts
+++ b/packages/daemon/src/control/peer-duties.ts
@@ -1,5 +1,5 @@
 /** Acts on the messages of the control link. */
-import type {DispatchTable, PeerMessage} from '@wisteriarun/core';
+import type {DispatchTable, Fence, PeerMessage} from '@wisteriarun/core';
 import type {Clock} from '@wisteriarun/runtime';
 import type {DispatcherHost} from '../request/dispatcher-host.js';
 import type {OutgoingHandover, ShardMove} from '../request/shard-custody.js';
@@ -188,18 +188,20 @@
 
   private async stopDispatch(
     from: string,
-    {server, next, term}: MessageOf<'dispatch-stop'>,
+    {server, next, term, fence}: MessageOf<'dispatch-stop'>,
   ): Promise<void> {
     if (term < this.currentTermOf(server)) return;
+    const row = this.options.directory.lookup(server);
+    // A late copy of an earlier order must not end a later appointment.
+    if (row && isNewerFence(row.fence, fence)) return;
     // A stop that is sent again may name another receiver.
     this.successors.set(server, next);
-    const row = this.options.directory.lookup(server);
-    if (row) this.orders.noteStop(server, row.fence, term);
+    this.orders.noteStop(server, fence, term);
     const handovers = await this.options.dispatcher.stop(server, term);
     const successor = this.successors.get(server) ?? next;
     for (const handover of handovers) this.send(successor, handover);
     this.successors.delete(server);
-    this.send(from, {kind: 'dispatch-stopped', server, term});
+    this.send(from, {kind: 'dispatch-stopped', server, term, fence});
   }
 
   private async drain(
@@ -279,3 +281,7 @@
     }
   }
 }
+
+function isNewerFence(a: Fence, b: Fence): boolean {
+  return a.term !== b.term ? a.term > b.term : a.seq > b.seq;
+}
--- a/packages/daemon/test/control/orders.test.ts
+++ b/packages/daemon/test/control/orders.test.ts
@@ -15,8 +15,9 @@
   version: number,
   ...rows: DispatchRow[]
 ): PeerMessage => ({kind: 'dispatch-table', zone: 'z', term, version, rows});
-const stop = (term: number): PeerMessage => {
-  return {kind: 'dispatch-stop', zone: 'z', term, server: 'x', next: 'n'};
+const stop = (term: number, fence = F1): PeerMessage => {
+  const kind = 'dispatch-stop';
+  return {kind, zone: 'z', term, server: 'x', fence, next: 'n'};
 };
 
 let term: number;
@@ -141,6 +142,24 @@
     expect(fences.get('x')).toEqual(F1);
   });
 
+  // Otherwise a late copy of an order ends a later appointment, and its answer
+  // counts for that one.
+  it('repeats the fence of a stop and ignores one of an earlier fence', async () => {
+    handle(table(1, 1, row('x')));
+    handle(stop(1));
+    await flush();
+    expect(sent).toEqual([
+      {kind: 'dispatch-stopped', server: 'x', term: 1, fence: F1},
+    ]);
+    const later = {term: 1, seq: 2};
+    handle(table(1, 2, row('x', later)));
+    handle(stop(1));
+    await flush();
+    expect(sent).toHaveLength(1);
+    handle(table(1, 3, row('x', later)));
+    expect(fences.get('x')).toEqual(later);
+  });
+
   it('ignores orders of an older term', async () => {
     handle(table(1, 1, row('x')));
     term = 2;
--- a/packages/daemon/test/handover-harness.ts
+++ b/packages/daemon/test/handover-harness.ts
@@ -83,7 +83,9 @@
   /** Orders a planned change; it ends when the holder has stopped. */
   stop(server: string, next: string): void {
     const {term} = this;
-    const message = {kind: 'dispatch-stop', zone: 'z', term, server, next};
+    const {fence} = this.rows.get(server)!;
+    const kind = 'dispatch-stop';
+    const message = {kind, zone: 'z', term, server, fence, next};
     this.vm(this.holderOf(server)).inbox.push(message as PeerMessage);
   }
 
