Report the log as unavailable as soon as the offset has expired

Cause: after log-expired the tail stayed available until the recovery failed. Change: the follower's status is applied before the recovery starts. Measured: the new test passes, and fails without the change.

--- a/packages/daemon/src/control/log-tail.ts
+++ b/packages/daemon/src/control/log-tail.ts
@@ -135,8 +135,8 @@
     this.follower = follower;
     void follower.batches.observe(records => replica.apply(records));
     void follower.statuses.observe(({up, error}) => {
+      this.setAvailability(up, error);
       if (error?.kind === 'log-expired') void this.restart();
-      else this.setAvailability(up, error);
     });
     follower.start();
   }
