Look for bundle-rejected in the test of bundle races

Cause: rejected bundles are reported under a kind of their own, so the test found no event. All its assertions on author, cause and winner are unchanged.

--- a/testing/demo/test/failures/bundles.test.ts
+++ b/testing/demo/test/failures/bundles.test.ts
@@ -54,7 +54,7 @@
   const view = await scenario.operator(entry).timeline();
   if (view.isErr) throw new Error(view.error.kind);
   return view.value.events.filter(
-    ({kind, wallTimeMs}) => kind === 'record-rejected' && wallTimeMs >= fromMs,
+    ({kind, wallTimeMs}) => kind === 'bundle-rejected' && wallTimeMs >= fromMs,
   );
 }
 
