--- a/testing/demo/test/fake-daemon.js
+++ b/testing/demo/test/fake-daemon.js
@@ -14,6 +14,7 @@
 const {endpoint, stream} = settings.log;
 let bundle = null;
 let epoch = 0;
+let leaseSeq = 0;
 
 async function follow() {
   const url = `${endpoint}/streams/${stream}/records?from=${epoch + 1}`;
@@ -36,7 +37,7 @@
 
 async function grant(server) {
   const base = `http://${server.host}:${server.port}/wisteriarun`;
-  const {clockMs} = await (await fetch(`${base}/status`)).json();
+  const {bootId, clockMs} = await (await fetch(`${base}/status`)).json();
   const {id, shards} = bundle.services.find(s => s.id === server.service);
   const servers = serversOf(id);
   const grants = Array.from({length: shards}, (_, shard) => shard)
@@ -51,6 +52,8 @@
       dispatcher: settings.vm.id,
       expiresAtMs: clockMs + 1_200,
       grants,
+      bootId,
+      seq: ++leaseSeq,
     }),
   });
 }
