Refuse leases with an older fence than the server's present one

Cause, found in review: a new assigner adopts the dispatcher that a server reports. Between its probe and its first lease the former assigner could put another dispatcher's fence in force; the adopted dispatcher then went on with incomplete attempt records, and a repeated request could run twice. Ruled out: a new takeover at each adoption, because every change of the assigner would then give attempt-unknown for more than a second. Change: servers refuse a lease with an older fence, and the assigner adopts the newer one that they report.

--- a/packages/core/src/core/ownership/assigner.ts
+++ b/packages/core/src/core/ownership/assigner.ts
@@ -20,6 +20,7 @@
 import type {LeavingProgress} from './placement.js';
 import {
   dispatcherOf,
+  forgetReplacedDispatcher,
   noteFenceInForce,
   sameFence,
   type ServerSlot,
@@ -95,6 +96,7 @@
     }
     const {bootId, clockMs} = status;
     noteStatus(slot, status, receivedAtMs);
+    forgetReplacedDispatcher(slot);
     this.state.leases.noteAnswer(server, {bootId, clockMs, receivedAtMs});
     if (sentLease?.bootId === bootId) this.noteLeaseAck(slot, sentLease);
   }
--- a/packages/core/src/core/ownership/server-slot.ts
+++ b/packages/core/src/core/ownership/server-slot.ts
@@ -1,5 +1,11 @@
 /** Soft state of the assigner about one server. */
-import type {Fence, Grant, Server, ServerStatus} from '../../types/index.js';
+import {
+  isOlderFence,
+  type Fence,
+  type Grant,
+  type Server,
+  type ServerStatus,
+} from '../../types/index.js';
 import type {ShardIndex} from './shard-index.js';
 
 /** Who dispatches for a server. */
@@ -141,6 +147,19 @@
   slot.fenceInForce = d.fence;
 }
 
+/**
+ * Gives up a dispatcher that the former assigner replaced after this one had
+ * read the server's status. The next step adopts the one that is reported.
+ *
+ * @param slot - State of the server, which is changed.
+ */
+export function forgetReplacedDispatcher(slot: ServerSlot): void {
+  const reported = slot.status?.fence;
+  const d = dispatcherOf(slot);
+  if (!slot.server.checksGrants || !reported || !d) return;
+  if (isOlderFence(d.fence, reported)) slot.dispatch = {kind: 'none'};
+}
+
 /**
  * Dispatcher of a server, whether or not it is being replaced.
  *
--- a/packages/core/src/types/lease.ts
+++ b/packages/core/src/types/lease.ts
@@ -8,6 +8,18 @@
 });
 export type Fence = z.infer<typeof fenceSchema>;
 
+/**
+ * Orders two fences.
+ *
+ * @param fence - Fence of a call.
+ * @param known - Fence in force.
+ * @returns True when a dispatcher with the first fence has been replaced.
+ */
+export function isOlderFence(fence: Fence, known: Fence): boolean {
+  if (fence.term !== known.term) return fence.term < known.term;
+  return fence.seq < known.seq;
+}
+
 /** A shard that the lease's holder may serve at exactly this epoch. */
 export const grantSchema = z.strictObject({
   service: z.string(),
@@ -23,6 +35,11 @@
 const leaseFieldsSchema = z.strictObject({
   zone: z.string(),
   term: z.int().min(0),
+  /**
+   * Never older than the server's present fence, or the server refuses: a new
+   * assigner may have read the status before the former one replaced the
+   * dispatcher.
+   */
   fence: fenceSchema,
   dispatcher: z.string(),
   /** Expiry on the server's own monotonic clock. */
--- a/packages/core/test/ownership/fences.test.ts
+++ b/packages/core/test/ownership/fences.test.ts
@@ -129,6 +129,19 @@
     expect(rowOf(bench).replaces).toEqual(fence);
   });
 
+  // Guards against a dispatcher that goes on with incomplete attempt records,
+  // because the former assigner replaced it after the new one's first probe.
+  it('follows a fence that the former assigner put in force meanwhile', () => {
+    const bench = takeOver('b', {term: 1, seq: 9});
+    bench.run(10);
+    const fence = {term: 1, seq: 10};
+    bench.statuses.set('s1', {fence, dispatcher: 'a', term: 1});
+    bench.run(500);
+    expect(rowOf(bench)).toMatchObject({fence, dispatcher: 'a'});
+    const leases = pick(bench.seen, 'lease').filter(c => c.server === 's1');
+    expect(leases.at(-1)!.request.fence).toEqual(fence);
+  });
+
   it('is unknown when the reported dispatcher is not live', () => {
     // The former assigner may have replaced it after the report.
     const bench = takeOver('d', {term: 1, seq: 9});
--- a/packages/core/test/ownership/model.ts
+++ b/packages/core/test/ownership/model.ts
@@ -5,6 +5,7 @@
 import {
   Assigner,
   decideElection,
+  isOlderFence,
   shardKey,
   type AssignerCommand,
   type Bundle,
@@ -85,6 +86,9 @@
   /** Returns false when the call is refused. */
   takeLease(request: LeaseRequest): boolean {
     if (request.bootId !== this.bootId) return false;
+    if (this.lease && isOlderFence(request.fence, this.lease.fence)) {
+      return false;
+    }
     if (request.term < this.term) return false;
     if (request.term === this.term && request.seq! <= this.seq) return false;
     if (request.grants === null) {
--- a/testing/standins/src/backend-server.ts
+++ b/testing/standins/src/backend-server.ts
@@ -8,6 +8,7 @@
   LEASE_PATH,
   REASONS,
   STATUS_PATH,
+  isOlderFence,
   leaseRequestSchema,
   type Grant,
   type LeaseRequest,
@@ -287,10 +288,11 @@
   }
 
   /** A delayed call of the same term could bring a revoked grant back. */
-  private isNewer({term, seq, bootId}: LeaseRequest): boolean {
-    if (bootId !== undefined && bootId !== this.bootId) return false;
+  private isNewer({term, seq, bootId, fence}: LeaseRequest): boolean {
+    if (bootId !== this.bootId) return false;
+    if (this.lease && isOlderFence(fence, this.lease.fence)) return false;
     if (term !== this.term) return term > this.term;
-    return seq === undefined || seq > (this.lease?.seq ?? 0);
+    return seq > (this.lease?.seq ?? 0);
   }
 
   private async handleRequest(
