--- a/packages/runtime/src/settings-schema.ts
+++ b/packages/runtime/src/settings-schema.ts
@@ -139,7 +139,6 @@
   limits: z.strictObject({
     shutdown_delay_ms: withDefault(whole(0, HOUR_MS), 3_000),
     shutdown_timeout_ms: withDefault(whole(0, DAY_MS), 0),
-    longest_deadline_ms: withDefault(whole(1_000, HOUR_MS), 600_000),
   }),
   logs: z.strictObject({
     level: z
--- a/packages/runtime/test/settings.test.ts
+++ b/packages/runtime/test/settings.test.ts
@@ -77,7 +77,6 @@
     expect(settings.limits).toMatchObject({
       shutdownDelayMs: 1_000,
       shutdownTimeoutMs: 0,
-      longestDeadlineMs: 600_000,
     });
     expect(settings.logs.level).toBe('info');
   });
--- a/testing/demo/src/cluster.ts
+++ b/testing/demo/src/cluster.ts
@@ -171,6 +171,11 @@
     );
   }
 
+  /** Ids of the entries, in the order of their starts. */
+  entryIds(): string[] {
+    return [...this.entries.keys()];
+  }
+
   /** Process ids of the entries that run. */
   entryPids(): number[] {
     return [...this.entries.values()]
--- a/testing/demo/test/failures/scenario.ts
+++ b/testing/demo/test/failures/scenario.ts
@@ -32,6 +32,8 @@
 const FIRST_TAKEOVER_MS = 1_500;
 const SETTLE_MS = 1_000;
 const POLL_INTERVAL_MS = 50;
+/** Starts of a cluster before its dispatchers are taken as they are. */
+const MAX_STARTS = 4;
 
 /** Servers `s1`, `s2`, … of one zone. */
 export function serversOf(
@@ -169,6 +171,38 @@
   throw new Error(`not within ${limitMs} ms: ${what}`);
 }
 
+/**
+ * Starts a cluster in which some entry VM other than the assigner dispatches.
+ * Dispatchers are chosen by a hash of random ids, which can give every server
+ * to the assigner.
+ */
+async function startSpread(options: ClusterOptions): Promise<Cluster> {
+  for (let left = MAX_STARTS; ; left--) {
+    const cluster = await Cluster.start(options);
+    try {
+      await cluster.waitUntilServing(IN_FORCE_MS);
+      if (left === 1 || (await isSpread(cluster))) return cluster;
+    } catch (error) {
+      await cluster.close();
+      throw error;
+    }
+    await cluster.close();
+  }
+}
+
+async function isSpread(cluster: Cluster): Promise<boolean> {
+  const entry = cluster.entryIds()[0]!;
+  const {terms} = await statusOf(cluster, entry);
+  const holders = new Set(terms.map(({holder}) => holder));
+  const owners = await operatorOf(cluster, entry).owners();
+  return (
+    owners.isOk &&
+    owners.value.rows.some(
+      ({dispatcher}) => dispatcher !== null && !holders.has(dispatcher),
+    )
+  );
+}
+
 /**
  * Starts a cluster and a load, runs the failure, ends both and collects what
  * servers and callers recorded.
@@ -182,9 +216,8 @@
   act: (scenario: Scenario) => Promise<void>,
   loadOptions: Partial<CallerLoadOptions> = {},
 ): Promise<Result> {
-  const cluster = await Cluster.start({...SMALL, ...options});
+  const cluster = await startSpread({...SMALL, ...options});
   try {
-    await cluster.waitUntilServing(IN_FORCE_MS);
     await sleep(FIRST_TAKEOVER_MS);
     const load = new CallerLoad({
       entries: cluster.entryAddresses(),
--- a/testing/demo/test/failures/unchecked.test.ts
+++ b/testing/demo/test/failures/unchecked.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {
   TEST_TIMEOUT_MS,
+  SMALL,
   serversOf,
   sleep,
   underLoad,
@@ -12,7 +13,10 @@
 const DEADLINE_MS = 2_000;
 const OPTIONS = {
   servers: serversOf(3, {slots: 8, serviceTimeMs: 60, checksGrants: false}),
-  settings: {limits: {longest_deadline_ms: DEADLINE_MS}},
+  services: SMALL.services.map(service => ({
+    ...service,
+    longestDeadlineMs: DEADLINE_MS,
+  })),
 };
 
 describe('servers that do not check grants', () => {
