Compare fences in one place

The comparison of two fences stood six times: in the custody of shards, the dispatcher's check before a write, the permissions, twice in the orders of assigners, and in the assigner's state. They call isSameFence of core now, under which an unknown fence is never the same as another; the assigner's variant, in which two missing fences are equal, builds on it. The order of fences and the percentile of the request bench also use the functions that were there. No behaviour changes.

--- a/packages/core/src/core/ownership/server-slot.ts
+++ b/packages/core/src/core/ownership/server-slot.ts
@@ -1,6 +1,7 @@
 /** Soft state of the assigner about one server. */
 import {
   isOlderFence,
+  isSameFence,
   type Fence,
   type Grant,
   type Server,
@@ -127,8 +128,7 @@
  * @returns True when both are the same.
  */
 export function sameFence(a: Fence | null, b: Fence | null): boolean {
-  if (a === null || b === null) return a === b;
-  return a.term === b.term && a.seq === b.seq;
+  return a === b || isSameFence(a, b);
 }
 
 /**
--- a/packages/core/src/types/lease.ts
+++ b/packages/core/src/types/lease.ts
@@ -8,6 +8,17 @@
 });
 export type Fence = z.infer<typeof fenceSchema>;
 
+/**
+ * Compares two fences. An unknown fence is not the same as any other.
+ *
+ * @param a - Fence, or null when unknown.
+ * @param b - Fence, or null when unknown.
+ * @returns True when both are known and equal.
+ */
+export function isSameFence(a: Fence | null, b: Fence | null): boolean {
+  return a !== null && a.term === b?.term && a.seq === b.seq;
+}
+
 /**
  * Orders two fences.
  *
--- a/packages/daemon/src/control/permissions.ts
+++ b/packages/daemon/src/control/permissions.ts
@@ -1,5 +1,10 @@
 /** Permissions to send to servers that do not check grants themselves. */
-import type {Fence, PeerMessage, Reason} from '@wisteriarun/core';
+import {
+  isSameFence,
+  type Fence,
+  type PeerMessage,
+  type Reason,
+} from '@wisteriarun/core';
 import type {Clock} from '@wisteriarun/runtime';
 import type {OwnedShard, PermissionCheck} from '../request/types.js';
 
@@ -45,8 +50,7 @@
     if (!known) return 'no-permission';
     const {message, epochs} = known;
     if (this.clock.monotonicMs() >= message.expiresAtMs) return 'no-permission';
-    if (message.fence.term !== fence.term) return 'stale-fence';
-    if (message.fence.seq !== fence.seq) return 'stale-fence';
+    if (!isSameFence(message.fence, fence)) return 'stale-fence';
     return epochs.get(shardName(shard)) === shard.epoch ? null : 'stale-epoch';
   }
 }
--- a/packages/daemon/src/control/zone-orders.ts
+++ b/packages/daemon/src/control/zone-orders.ts
@@ -1,5 +1,5 @@
 /** Orders of assigners that end with the term under which they were given. */
-import type {Fence} from '@wisteriarun/core';
+import {isSameFence, type Fence} from '@wisteriarun/core';
 
 /** A drain that this VM applies as dispatcher. */
 export interface DrainOrder {
@@ -77,7 +77,7 @@
   isStopped(server: string, fence: Fence, term: number): boolean {
     const stop = this.stops.get(server);
     if (!stop || term > stop.term) return false;
-    return stop.fence.term === fence.term && stop.fence.seq === fence.seq;
+    return isSameFence(stop.fence, fence);
   }
 
   /**
@@ -107,9 +107,7 @@
    */
   takeDrainsOfOtherFences(server: string, fence: Fence): readonly DrainOrder[] {
     return this.takeDrains(
-      order =>
-        order.server === server &&
-        (order.fence?.term !== fence.term || order.fence.seq !== fence.seq),
+      order => order.server === server && !isSameFence(order.fence, fence),
     );
   }
 
--- a/packages/daemon/src/request/dispatcher-host.ts
+++ b/packages/daemon/src/request/dispatcher-host.ts
@@ -1,6 +1,7 @@
 /** Dispatcher role of this VM. */
 import {BackendClient} from '@wisteriarun/backend';
 import {
+  isSameFence,
   AttemptTable,
   CrashGuard,
   requestFailure,
@@ -14,7 +15,6 @@
 import {ServerDispatcher, type ServerUse} from './server-dispatcher.js';
 import {
   ShardCustody,
-  isSameFence,
   type Appointment,
   type Handover,
   type OutgoingHandover,
--- a/packages/daemon/src/request/server-dispatcher.ts
+++ b/packages/daemon/src/request/server-dispatcher.ts
@@ -5,6 +5,7 @@
   DispatchQueue,
   ServiceTimes,
   fingerprint,
+  isSameFence,
   methodClass,
   requestFailure,
   uuidV7TimeMs,
@@ -614,10 +615,7 @@
   }
 
   private writeRefusal(request: RelayRequest, fence: Fence): Reason | null {
-    const {fence: current} = this;
-    if (current?.term !== fence.term || current.seq !== fence.seq) {
-      return 'stale-fence';
-    }
+    if (!isSameFence(this.fence, fence)) return 'stale-fence';
     const refusal = this.refusal(request);
     if (refusal || this.server.checksGrants) return refusal;
     const {service, shard, epoch} = request;
--- a/packages/daemon/src/request/shard-custody.ts
+++ b/packages/daemon/src/request/shard-custody.ts
@@ -1,5 +1,7 @@
 /** Which shards this VM dispatches, and since when it knows their attempts. */
 import {
+  isOlderFence,
+  isSameFence,
   uuidV7TimeMs,
   type AttemptTable,
   type DispatchRow,
@@ -392,21 +394,6 @@
   }
 }
 
-/**
- * Compares two fences.
- *
- * @param a - A fence, or null.
- * @param b - Another fence, or null.
- * @returns True when both are the same fence.
- */
-export function isSameFence(a: Fence | null, b: Fence | null): boolean {
-  return a !== null && a.term === b?.term && a.seq === b.seq;
-}
-
-function isNewer(a: Fence, b: Fence): boolean {
-  return a.term !== b.term ? a.term > b.term : a.seq > b.seq;
-}
-
 /** Whether a move took a shard from the owner for which this VM dispatched. */
 function isFrom({from}: ShardMove, held: Held): boolean {
   return from.server === held.server && from.epoch === held.epoch;
@@ -451,7 +438,7 @@
 ): boolean {
   if (!held || !own || epoch > held.epoch) return true;
   if (epoch < held.epoch || server !== held.server) return false;
-  return isNewer(fence, own.fence);
+  return isOlderFence(own.fence, fence);
 }
 
 function shardId(service: string, shard: number): string {
--- a/testing/bench/src/request/costs.ts
+++ b/testing/bench/src/request/costs.ts
@@ -3,7 +3,8 @@
 import {CallerLoad, sleep} from '@wisteriarun/standins';
 import {Agent, request} from 'undici';
 import {residentBytes} from './process-usage.js';
-import {percentile, round} from './summary.js';
+import {quantile} from '../capacity/stats.js';
+import {round} from './summary.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
 const SERVICE = 'recordings';
@@ -50,11 +51,11 @@
     const direct = await callServers();
     return {
       calls: CALLS,
-      directP50Ms: round(percentile(direct, 50), 2),
-      routedP50Ms: round(percentile(routed, 50), 2),
-      addedP50Ms: round(percentile(routed, 50) - percentile(direct, 50), 2),
-      directP99Ms: round(percentile(direct, 99), 2),
-      routedP99Ms: round(percentile(routed, 99), 2),
+      directP50Ms: round(quantile(direct, 0.5), 2),
+      routedP50Ms: round(quantile(routed, 0.5), 2),
+      addedP50Ms: round(quantile(routed, 0.5) - quantile(direct, 0.5), 2),
+      directP99Ms: round(quantile(direct, 0.99), 2),
+      routedP99Ms: round(quantile(routed, 0.99), 2),
     };
   } finally {
     await cluster.close();
--- a/testing/bench/src/request/load-levels.ts
+++ b/testing/bench/src/request/load-levels.ts
@@ -10,7 +10,8 @@
   type Attempt,
 } from '@wisteriarun/standins';
 import {cpuTimeMs} from './process-usage.js';
-import {percentile, round} from './summary.js';
+import {quantile} from '../capacity/stats.js';
+import {round} from './summary.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
 const SERVICE = 'storefront';
@@ -162,9 +163,9 @@
     attempts.filter(attempt => attempt.outcome === outcome).length;
   return {
     goodputPerSecond: round((answered.length * 1_000) / durationMs),
-    p50Ms: round(percentile(latencies, 50)),
-    p99Ms: round(percentile(latencies, 99)),
-    p999Ms: round(percentile(latencies, 99.9)),
+    p50Ms: round(quantile(latencies, 0.5)),
+    p99Ms: round(quantile(latencies, 0.99)),
+    p999Ms: round(quantile(latencies, 0.999)),
     notRun: count('not-run'),
     unknown: attempts.length - answered.length - count('not-run'),
   };
@@ -176,7 +177,7 @@
     .filter(window => window.fromMs >= fromMs && window.fromMs <= toMs)
     .map(({ratio}) => ratio);
   return {
-    imbalanceMedian: round(percentile(ratios, 50), 2),
+    imbalanceMedian: round(quantile(ratios, 0.5), 2),
     imbalanceMax: round(Math.max(...ratios), 2),
   };
 }
