--- /dev/null
+++ b/deploy/build.mjs
@@ -0,0 +1,25 @@
+/** Bundles the gateway into one file, for the deploy file's build step. */
+import {fileURLToPath} from 'node:url';
+import {build} from 'esbuild';
+
+const root = path => fileURLToPath(new URL(`../${path}`, import.meta.url));
+
+await build({
+  entryPoints: [root('packages/gateway/src/main.ts')],
+  outfile: root('target/wisteriarun.mjs'),
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minify: true,
+  keepNames: true,
+  alias: {
+    '@wisteriarun/core': root('packages/core/src/index.ts'),
+    '@wisteriarun/platform': root('platform/src/index.ts'),
+    '@wisteriarun/runtime': root('packages/runtime/src/index.ts'),
+  },
+  banner: {
+    // Bundled CommonJS modules load Node's own modules with require.
+    js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
+  },
+});
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tsdoc from 'eslint-plugin-tsdoc';
 
 export default [
-  {ignores: ['**/dist/**', '**/node_modules/**']},
+  {ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**']},
   ...gts,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/core/src/core/range/index.ts
@@ -0,0 +1,10 @@
+/** Routing, key ranges and server load of the gateway. */
+export * from './hold-ledger.js';
+export * from './key-load-map.js';
+export * from './range-planner.js';
+export * from './range-table.js';
+export * from './route-index.js';
+export * from './server-load-view.js';
+export * from './server-registry.js';
+export * from './server-speeds.js';
+export * from './weighted-rotation.js';
--- /dev/null
+++ b/packages/core/src/core/range/range-planner.ts
@@ -0,0 +1,278 @@
+/** Decides which keys should change hands. */
+import {KEY_COUNT} from '../../types/index.js';
+import type {KeyRange, RangeOwner} from '../../types/index.js';
+import type {KeyLoadMap} from './key-load-map.js';
+
+/** Load over the mean from which keys move away from a server. */
+const OVERLOAD_RATIO = 1.2;
+/** Utilization below which imbalance delays no request. */
+const IDLE_UTILIZATION = 0.3;
+/** Moves that are planned in one step. */
+const MAX_MOVES_PER_STEP = 6;
+/** A piece may exceed the wanted load by this share. */
+const PIECE_TOLERANCE = 0.15;
+/** Ranges of a server from which no more are split off to it. */
+const MAX_RANGES_PER_SERVER = 8;
+
+/** A server that may own keys. */
+export interface PlannedServer {
+  readonly id: string;
+  /** Server time per second that it can give, in milliseconds. */
+  readonly capacity: number;
+}
+
+/** Keys that should go to a server. */
+export interface PlannedMove extends KeyRange {
+  readonly from: string | null;
+  readonly to: string;
+}
+
+/**
+ * Divides all keys evenly, for a service whose load is not known yet.
+ *
+ * @param servers - Servers in the order of their ranges.
+ * @returns One range for each server, as wide as its share of the capacity.
+ */
+export function initialRanges(
+  servers: readonly PlannedServer[],
+): PlannedMove[] {
+  const total = servers.reduce((sum, server) => sum + server.capacity, 0);
+  const moves: PlannedMove[] = [];
+  let fromKey = 0;
+  let given = 0;
+  for (const [index, server] of servers.entries()) {
+    given += server.capacity;
+    const isLast = index === servers.length - 1;
+    const end = isLast ? KEY_COUNT : Math.round((KEY_COUNT * given) / total);
+    if (end <= fromKey) continue;
+    moves.push({from: null, to: server.id, fromKey, toKey: end - 1});
+    fromKey = end;
+  }
+  return moves;
+}
+
+interface ServerState {
+  readonly id: string;
+  readonly capacity: number;
+  load: number;
+  ranges: RangeOwner[];
+  /** Keys arrive or leave in this step; no other move of them is planned. */
+  isBusy: boolean;
+}
+
+const utilization = (state: ServerState) => state.load / state.capacity;
+
+/** Plans the moves of one service in one step. */
+export class RangePlanner {
+  readonly #load: KeyLoadMap;
+  readonly #states = new Map<string, ServerState>();
+  readonly #moves: PlannedMove[] = [];
+
+  /**
+   * @param load - Load of the keys.
+   * @param servers - Servers that may own keys.
+   * @param ranges - Ranges with their present owners.
+   */
+  constructor(
+    load: KeyLoadMap,
+    servers: readonly PlannedServer[],
+    ranges: readonly RangeOwner[],
+  ) {
+    this.#load = load;
+    for (const {id, capacity} of servers) {
+      this.#states.set(id, {
+        id,
+        capacity,
+        load: 0,
+        ranges: [],
+        isBusy: false,
+      });
+    }
+    for (const range of ranges) {
+      if (range.server === null) continue;
+      const state = this.#states.get(range.server);
+      if (state === undefined) continue;
+      state.load += load.sum(range);
+      if (range.moving) state.isBusy = true;
+      else state.ranges.push(range);
+    }
+  }
+
+  /**
+   * Finds new owners for keys whose owner has to give them up.
+   *
+   * @param ranges - The ranges to place.
+   * @returns Moves that cover the ranges; none when there is no server.
+   */
+  place(ranges: readonly RangeOwner[]): PlannedMove[] {
+    if (this.#states.size === 0) return [];
+    const moves: PlannedMove[] = [];
+    for (const range of ranges) {
+      for (const piece of this.#pieces(range)) {
+        const target = this.#leastUtilized(this.#load.sum(piece));
+        target.load += this.#load.sum(piece);
+        moves.push({...piece, from: range.server, to: target.id});
+      }
+    }
+    return mergeNeighbours(moves);
+  }
+
+  /**
+   * Finds moves that relieve the busiest servers.
+   *
+   * @returns Moves to servers with room, the most urgent first.
+   */
+  rebalance(): PlannedMove[] {
+    const states = [...this.#states.values()];
+    const capacity = states.reduce((sum, state) => sum + state.capacity, 0);
+    const load = states.reduce((sum, state) => sum + state.load, 0);
+    if (capacity === 0 || load === 0) return [];
+    const mean = load / capacity;
+    const limit = Math.max(mean * OVERLOAD_RATIO, IDLE_UTILIZATION);
+    const hot = states
+      .filter(state => !state.isBusy && utilization(state) > limit)
+      .sort((a, b) => utilization(b) - utilization(a));
+    for (const state of hot) {
+      if (this.#moves.length >= MAX_MOVES_PER_STEP) break;
+      this.#relieve(state, mean);
+    }
+    return this.#moves;
+  }
+
+  /** Moves the piece that brings a server closest to the mean. */
+  #relieve(state: ServerState, mean: number): void {
+    const target = [...this.#states.values()]
+      .filter(
+        other =>
+          other !== state &&
+          !other.isBusy &&
+          other.ranges.length < MAX_RANGES_PER_SERVER,
+      )
+      .sort((a, b) => utilization(a) - utilization(b))[0];
+    if (target === undefined) return;
+    const surplus = state.load - mean * state.capacity;
+    const room = mean * target.capacity - target.load;
+    const wanted = Math.min(surplus, room);
+    if (wanted <= 0) return;
+    const piece = this.#bestPiece(state.ranges, wanted);
+    if (piece === null) return;
+    const moved = this.#load.sum(piece);
+    const before = utilization(state);
+    const after = (target.load + moved) / target.capacity;
+    // A move must not make the target the next one to be relieved.
+    if (after >= before) return;
+    state.load -= moved;
+    target.load += moved;
+    state.isBusy = true;
+    target.isBusy = true;
+    this.#moves.push({...piece, from: state.id, to: target.id});
+  }
+
+  /** Finds the narrowest end of a range that carries about a load. */
+  #bestPiece(ranges: readonly RangeOwner[], wanted: number): KeyRange | null {
+    let best: {piece: KeyRange; error: number; width: number} | null = null;
+    const most = wanted * (1 + PIECE_TOLERANCE);
+    for (const range of ranges) {
+      for (const piece of this.#ends(range, most)) {
+        const moved = this.#load.sum(piece);
+        if (moved <= 0) continue;
+        const error = Math.abs(wanted - moved) / wanted;
+        const width = piece.toKey - piece.fromKey + 1;
+        const isBetter =
+          best === null ||
+          error < best.error - PIECE_TOLERANCE ||
+          (error < best.error + PIECE_TOLERANCE && width < best.width);
+        if (isBetter) best = {piece, error, width};
+      }
+    }
+    return best === null ? null : best.piece;
+  }
+
+  /** Yields the longest pieces at both ends that carry at most a load. */
+  *#ends(range: KeyRange, most: number): Generator<KeyRange> {
+    let sum = 0;
+    let key = range.fromKey;
+    while (key <= range.toKey && sum + this.#load.at(key) <= most) {
+      sum += this.#load.at(key);
+      key += 1;
+    }
+    if (key > range.fromKey) {
+      yield this.#trim({fromKey: range.fromKey, toKey: key - 1}, 'low');
+    }
+    sum = 0;
+    key = range.toKey;
+    while (key >= range.fromKey && sum + this.#load.at(key) <= most) {
+      sum += this.#load.at(key);
+      key -= 1;
+    }
+    if (key < range.toKey) {
+      yield this.#trim({fromKey: key + 1, toKey: range.toKey}, 'high');
+    }
+  }
+
+  /** Drops keys without load at the inner end of a piece. */
+  #trim(piece: KeyRange, outerEnd: 'low' | 'high'): KeyRange {
+    let {fromKey, toKey} = piece;
+    if (outerEnd === 'low') {
+      while (toKey > fromKey && this.#load.at(toKey) === 0) toKey -= 1;
+    } else {
+      while (fromKey < toKey && this.#load.at(fromKey) === 0) fromKey += 1;
+    }
+    return {fromKey, toKey};
+  }
+
+  /** Splits a range so that each piece fits the room of a common server. */
+  *#pieces(range: RangeOwner): Generator<KeyRange> {
+    const states = [...this.#states.values()];
+    const capacity = states.reduce((sum, state) => sum + state.capacity, 0);
+    const load = states.reduce((sum, state) => sum + state.load, 0);
+    const total = this.#load.sum(range);
+    const meanAfter = (load + total) / states.length;
+    const room = capacity === 0 ? 0 : Math.max(meanAfter / 2, total / 6);
+    let fromKey = range.fromKey;
+    let sum = 0;
+    for (let key = range.fromKey; key <= range.toKey; key += 1) {
+      const here = this.#load.at(key);
+      if (sum + here > room && sum > 0) {
+        yield {fromKey, toKey: key - 1};
+        fromKey = key;
+        sum = 0;
+      }
+      sum += here;
+    }
+    yield {fromKey, toKey: range.toKey};
+  }
+
+  #leastUtilized(extra: number): ServerState {
+    let best: ServerState | null = null;
+    let least = Infinity;
+    for (const state of this.#states.values()) {
+      // Without load, the server with the fewest ranges comes first.
+      const after =
+        (state.load + extra) / state.capacity + state.ranges.length * 1e-6;
+      if (after < least) {
+        best = state;
+        least = after;
+      }
+    }
+    return best!;
+  }
+}
+
+function mergeNeighbours(moves: readonly PlannedMove[]): PlannedMove[] {
+  const merged: PlannedMove[] = [];
+  for (const move of moves) {
+    const last = merged.at(-1);
+    if (
+      last !== undefined &&
+      last.to === move.to &&
+      last.from === move.from &&
+      last.toKey + 1 === move.fromKey
+    ) {
+      merged[merged.length - 1] = {...last, toKey: move.toKey};
+    } else {
+      merged.push(move);
+    }
+  }
+  return merged;
+}
--- /dev/null
+++ b/packages/core/src/core/range/range-table.ts
@@ -0,0 +1,110 @@
+/** Owners of all key ranges. */
+import type {KeyRange, RangeOwner} from '../../types/index.js';
+
+/** Ranges of each service in ascending order, without overlaps. */
+export class RangeTable {
+  readonly #services = new Map<string, RangeOwner[]>();
+
+  /**
+   * @param ranges - Initial ranges, as for `assign`.
+   */
+  constructor(ranges: readonly RangeOwner[] = []) {
+    for (const range of ranges) this.assign(range);
+  }
+
+  /**
+   * Lists all ranges.
+   *
+   * @returns Ranges by service in ascending order.
+   */
+  all(): RangeOwner[] {
+    return [...this.#services.values()].flat();
+  }
+
+  /**
+   * Lists the ranges of a service.
+   *
+   * @param service - Name of the service.
+   * @returns Ranges in ascending order.
+   */
+  ofService(service: string): readonly RangeOwner[] {
+    return this.#services.get(service) ?? [];
+  }
+
+  /**
+   * Lists the ranges of a server.
+   *
+   * @param server - Id of the server.
+   * @returns Ranges in ascending order.
+   */
+  ofServer(server: string): RangeOwner[] {
+    return this.all().filter(range => range.server === server);
+  }
+
+  /**
+   * Finds the range that holds a key.
+   *
+   * @param service - Name of the service.
+   * @param key - The key.
+   * @returns The range, or null when the key was never assigned.
+   */
+  find(service: string, key: number): RangeOwner | null {
+    const ranges = this.#services.get(service);
+    if (ranges === undefined) return null;
+    let low = 0;
+    let high = ranges.length - 1;
+    while (low <= high) {
+      const middle = (low + high) >> 1;
+      const range = ranges[middle]!;
+      if (key < range.fromKey) high = middle - 1;
+      else if (key > range.toKey) low = middle + 1;
+      else return range;
+    }
+    return null;
+  }
+
+  /**
+   * Sets the owner of a range; ranges that overlap it are cut.
+   *
+   * @param owner - The range with its owner.
+   */
+  assign(owner: RangeOwner): void {
+    const ranges = this.#services.get(owner.service) ?? [];
+    const kept = ranges.flatMap(range => subtract(range, owner));
+    const at = kept.findIndex(range => range.fromKey > owner.fromKey);
+    kept.splice(at < 0 ? kept.length : at, 0, owner);
+    this.#services.set(owner.service, kept);
+  }
+
+  /**
+   * Yields the parts of a range with their present owners.
+   *
+   * @param service - Name of the service.
+   * @param within - Keys of interest.
+   * @returns Ranges cut to those keys.
+   */
+  *overlapping(service: string, within: KeyRange): Generator<RangeOwner> {
+    for (const range of this.ofService(service)) {
+      if (range.toKey < within.fromKey || range.fromKey > within.toKey) {
+        continue;
+      }
+      yield {
+        ...range,
+        fromKey: Math.max(range.fromKey, within.fromKey),
+        toKey: Math.min(range.toKey, within.toKey),
+      };
+    }
+  }
+}
+
+function subtract(range: RangeOwner, cut: KeyRange): RangeOwner[] {
+  if (range.toKey < cut.fromKey || range.fromKey > cut.toKey) return [range];
+  const rest: RangeOwner[] = [];
+  if (range.fromKey < cut.fromKey) {
+    rest.push({...range, toKey: cut.fromKey - 1});
+  }
+  if (range.toKey > cut.toKey) {
+    rest.push({...range, fromKey: cut.toKey + 1});
+  }
+  return rest;
+}
--- /dev/null
+++ b/packages/core/src/core/range/route-index.ts
@@ -0,0 +1,45 @@
+/** Finds the route of a request. */
+import type {GatewayBundle, GatewayRoute} from '../../types/index.js';
+
+/** Routes of a bundle by host and path prefix. */
+export class RouteIndex {
+  readonly #hosts = new Map<string, Map<string, GatewayRoute>>();
+
+  /**
+   * @param bundle - Bundle whose routes are indexed.
+   */
+  constructor(bundle: GatewayBundle) {
+    for (const route of bundle.routes) {
+      const prefixes = this.#hosts.get(route.host) ?? new Map();
+      prefixes.set(route.pathPrefix, route);
+      this.#hosts.set(route.host, prefixes);
+    }
+  }
+
+  /**
+   * Finds the route with the longest prefix of the path.
+   *
+   * @param host - Host header; a port is ignored.
+   * @param target - Path with an optional query.
+   * @returns The route, or null when none matches.
+   */
+  find(host: string, target: string): GatewayRoute | null {
+    const prefixes = this.#hosts.get(hostName(host));
+    if (prefixes === undefined) return null;
+    const queryAt = target.indexOf('?');
+    const path = queryAt < 0 ? target : target.slice(0, queryAt);
+    // Every prefix ends with a slash.
+    let end = path.lastIndexOf('/');
+    while (end >= 0) {
+      const route = prefixes.get(path.slice(0, end + 1));
+      if (route !== undefined) return route;
+      end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return null;
+  }
+}
+
+function hostName(host: string): string {
+  const colon = host.indexOf(':');
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
+}
--- a/packages/core/src/core/request/retry-budget.ts
+++ b/packages/core/src/core/request/retry-budget.ts
@@ -3,8 +3,15 @@
 const WINDOW_MS = 10_000;
 const BUCKET_MS = 1_000;
 const BUCKETS = WINDOW_MS / BUCKET_MS;
-const RETRY_RATIO = 0.1;
-const RETRY_FLOOR = 10;
+const DEFAULT_LIMITS: RetryLimits = {ratio: 0.1, floor: 10};
+
+/** Retries allowed in a window of 10 s. */
+export interface RetryLimits {
+  /** Share of the requests of the window. */
+  readonly ratio: number;
+  /** Retries allowed besides, whatever the requests. */
+  readonly floor: number;
+}
 
 interface Bucket {
   index: number;
@@ -12,7 +19,7 @@
   retries: number;
 }
 
-/** Allows retries up to 10% of the requests of the last 10 s, plus 10. */
+/** Allows retries up to a share of the requests of the last 10 s. */
 export class RetryBudget {
   private readonly buckets: Bucket[] = Array.from({length: BUCKETS}, () => ({
     index: -1,
@@ -20,6 +27,20 @@
     retries: 0,
   }));
 
+  /**
+   * @param limits - Allowed retries; 10% of the requests and 10 by default.
+   */
+  constructor(private limits: RetryLimits = DEFAULT_LIMITS) {}
+
+  /**
+   * Replaces the limits.
+   *
+   * @param limits - Allowed retries from now on.
+   */
+  setLimits(limits: RetryLimits): void {
+    this.limits = limits;
+  }
+
   /**
    * Counts a first try.
    *
@@ -44,7 +65,8 @@
       requests += bucket.requests;
       retries += bucket.retries;
     }
-    if (retries + 1 > requests * RETRY_RATIO + RETRY_FLOOR) return false;
+    if (retries + 1 > requests * this.limits.ratio + this.limits.floor)
+      return false;
     current.retries += 1;
     return true;
   }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 export * from './core/ownership/index.js';
+export * from './core/range/index.js';
 export * from './core/request/index.js';
 export * from './core/state/index.js';
 export * from './types/index.js';
--- a/packages/core/src/types/errors.ts
+++ b/packages/core/src/types/errors.ts
@@ -46,6 +46,8 @@
     ({kind: 'vm-list-unavailable', detail}) as const,
   serverUnreachable: (server: string, detail: string) =>
     ({kind: 'server-unreachable', server, detail}) as const,
+  callNotSent: (server: string, detail: string) =>
+    ({kind: 'call-not-sent', server, detail}) as const,
   leaseRefused: (server: string, term: number) =>
     ({kind: 'lease-refused', server, term}) as const,
   peerProtocol: (detail: string) => ({kind: 'peer-protocol', detail}) as const,
--- a/packages/core/src/types/index.ts
+++ b/packages/core/src/types/index.ts
@@ -8,3 +8,5 @@
 export * from './records.js';
 export * from './state.js';
 export * from './timing.js';
+export * from './gateway.js';
+export * from './gateway-ports.js';
--- /dev/null
+++ b/packages/gateway/src/entry/attempt.ts
@@ -0,0 +1,262 @@
+/** One attempt to have a server answer a request. */
+import type {Readable} from 'node:stream';
+import type {GatewayHeaders, ReportedLoad} from '@wisteriarun/core';
+import type {Dispatcher} from 'undici';
+
+/** Answers up to this size are checked whole before the caller sees any. */
+const BUFFERED_BYTES = 262_144;
+/** Statuses that promise that the request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const MISDIRECTED = 421;
+
+/** Headers of an answer by lower-case name. */
+export type AnswerHeaders = Readonly<
+  Record<string, string | string[] | undefined>
+>;
+
+/** Receives an answer that is too large to be held. */
+export interface AnswerSink {
+  begin(status: number, headers: AnswerHeaders): void;
+  /** Returns false when no more should be written until `resume` is called. */
+  write(chunk: Buffer, resume: () => void): boolean;
+  end(): void;
+  /** Ends the answer so that it does not look complete. */
+  cut(): void;
+}
+
+/** A request as it is sent to a server. */
+export interface AttemptRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Record<string, string | string[]>;
+  readonly body: Buffer | Readable | null;
+  /** Id that an answer of the server repeats; null when the caller gave none. */
+  readonly id: string | null;
+  readonly timeoutMs: number;
+}
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: AnswerHeaders;
+      readonly body: Buffer;
+      readonly load: ReportedLoad | null;
+    }
+  | {readonly kind: 'streamed'; readonly load: ReportedLoad | null}
+  | {
+      /** The request did not run and will not. */
+      readonly kind: 'not-run';
+      readonly cause: 'not-sent' | 'refused' | 'misdirected' | 'invalid';
+      readonly load: ReportedLoad | null;
+    }
+  | {
+      /** The request may have run. */
+      readonly kind: 'unknown';
+      readonly cause: UnknownCause;
+    };
+
+/** Why it is not known whether a request ran. */
+export type UnknownCause =
+  | 'connection-lost'
+  | 'wrong-answer'
+  | 'unsigned-answer'
+  | 'timeout'
+  | 'caller-gone'
+  | 'cut-off';
+
+class AttemptAborted extends Error {}
+
+/** Runs one attempt; the outcome is settled once. */
+export class Attempt implements Dispatcher.DispatchHandler {
+  readonly outcome: Promise<AttemptOutcome>;
+  #settle!: (outcome: AttemptOutcome) => void;
+  #isSettled = false;
+  #controller: Dispatcher.DispatchController | null = null;
+  #isCancelled = false;
+  #status = 0;
+  #headers: AnswerHeaders = {};
+  #chunks: Buffer[] = [];
+  #bytes = 0;
+  #isStreaming = false;
+  readonly #timer: NodeJS.Timeout;
+
+  /**
+   * Starts the attempt.
+   *
+   * @param dispatcher - Connections to the server.
+   * @param request - The request.
+   * @param names - Header names.
+   * @param sink - Receives an answer that is too large to be held.
+   */
+  constructor(
+    dispatcher: Dispatcher,
+    private readonly request: AttemptRequest,
+    private readonly names: GatewayHeaders,
+    private readonly sink: AnswerSink,
+  ) {
+    this.outcome = new Promise(resolve => (this.#settle = resolve));
+    this.#timer = setTimeout(() => this.cancel('timeout'), request.timeoutMs);
+    dispatcher.dispatch(
+      {
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
+      this,
+    );
+  }
+
+  /** Whether the request was handed to a connection. */
+  get isSent(): boolean {
+    return this.#controller !== null;
+  }
+
+  /**
+   * Ends the attempt; its connection is closed.
+   *
+   * @param cause - Reported when the request may have run.
+   */
+  cancel(cause: UnknownCause): void {
+    if (this.#isSettled) return;
+    this.#isCancelled = true;
+    if (this.#controller === null) {
+      this.#finish({kind: 'not-run', cause: 'not-sent', load: null});
+      return;
+    }
+    const controller = this.#controller;
+    this.#fail(cause);
+    controller.abort(new AttemptAborted(cause));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#isCancelled) {
+      controller.abort(new AttemptAborted('cancelled before it was sent'));
+      return;
+    }
+    this.#controller = controller;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: AnswerHeaders,
+  ): void {
+    if (status < 200) return;
+    this.#status = status;
+    this.#headers = headers;
+    const {id} = this.request;
+    if (id !== null && headers[this.names.requestId] !== id) {
+      this.#fail('wrong-answer');
+      controller.abort(new AttemptAborted('answer to another request'));
+    }
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.#isSettled) return;
+    if (this.#isStreaming) {
+      this.#stream(controller, chunk);
+      return;
+    }
+    this.#chunks.push(chunk);
+    this.#bytes += chunk.length;
+    if (this.#bytes <= BUFFERED_BYTES) return;
+    const cause = this.#unusable();
+    if (cause !== null) {
+      this.#fail(cause);
+      controller.abort(new AttemptAborted(cause));
+      return;
+    }
+    this.#isStreaming = true;
+    this.sink.begin(this.#status, this.#headers);
+    for (const held of this.#chunks) this.#stream(controller, held);
+    this.#chunks = [];
+  }
+
+  onResponseEnd(): void {
+    if (this.#isSettled) return;
+    const load = this.#load();
+    if (this.#isStreaming) {
+      this.sink.end();
+      this.#finish({kind: 'streamed', load});
+      return;
+    }
+    if (this.#headers[this.names.notRun] !== undefined) {
+      this.#finish({kind: 'not-run', cause: this.#refusal(), load});
+      return;
+    }
+    if (this.#status === MISDIRECTED) {
+      this.#finish({kind: 'not-run', cause: 'misdirected', load});
+      return;
+    }
+    const cause = this.#unusable();
+    if (cause !== null) {
+      this.#fail(cause);
+      return;
+    }
+    const body = Buffer.concat(this.#chunks, this.#bytes);
+    this.#finish({
+      kind: 'answered',
+      status: this.#status,
+      headers: this.#headers,
+      body,
+      load,
+    });
+  }
+
+  onResponseError(): void {
+    if (this.#isSettled) return;
+    if (this.#controller === null) {
+      this.#finish({kind: 'not-run', cause: 'not-sent', load: null});
+      return;
+    }
+    this.#fail('connection-lost');
+  }
+
+  #stream(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    const goesOn = this.sink.write(chunk, () => controller.resume());
+    if (!goesOn) controller.pause();
+  }
+
+  #refusal(): 'refused' | 'misdirected' | 'invalid' {
+    if (this.#status === MISDIRECTED) return 'misdirected';
+    return this.#status === 400 ? 'invalid' : 'refused';
+  }
+
+  /** Tells why an answer may not be passed on; null when it may. */
+  #unusable(): UnknownCause | null {
+    // Without the header that states it, such a status promises nothing.
+    if (NOT_RUN_STATUSES.has(this.#status)) return 'unsigned-answer';
+    if (this.#headers[this.names.signature] === undefined) {
+      return 'unsigned-answer';
+    }
+    // Callers ask for bodies without an encoding.
+    return this.#headers['content-encoding'] === undefined
+      ? null
+      : 'wrong-answer';
+  }
+
+  #load(): ReportedLoad | null {
+    const text = this.#headers[this.names.load];
+    return typeof text === 'string' ? this.names.parseLoad(text) : null;
+  }
+
+  #fail(cause: UnknownCause): void {
+    if (this.#isStreaming) this.sink.cut();
+    this.#finish({kind: 'unknown', cause});
+  }
+
+  #finish(outcome: AttemptOutcome): void {
+    if (this.#isSettled) return;
+    this.#isSettled = true;
+    clearTimeout(this.#timer);
+    this.#settle(outcome);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/caller-body.ts
@@ -0,0 +1,78 @@
+/** Bodies of callers' requests. */
+import type {IncomingMessage} from 'node:http';
+import type {Readable} from 'node:stream';
+
+/** Bodies up to this size are held, so that they can be sent again. */
+const HELD_BYTES = 524_288;
+
+/** A body, or why there is none. */
+export type CallerBody =
+  | {readonly kind: 'held'; readonly bytes: Buffer | null}
+  | {
+      readonly kind: 'streamed';
+      readonly stream: Readable;
+      readonly lengthBytes: number | null;
+    }
+  | {readonly kind: 'too-large'}
+  | {readonly kind: 'gone'};
+
+/**
+ * Reads a body; one that is too large to be held is passed on as a stream.
+ *
+ * @param request - Request of the caller.
+ * @param maxBytes - Largest body that is accepted.
+ * @returns The body.
+ */
+export async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<CallerBody> {
+  const stated = request.headers['content-length'];
+  const isChunked = request.headers['transfer-encoding'] !== undefined;
+  if (stated === undefined && !isChunked) return {kind: 'held', bytes: null};
+  const lengthBytes = stated === undefined ? null : Number(stated);
+  if (lengthBytes !== null && lengthBytes > maxBytes) {
+    return {kind: 'too-large'};
+  }
+  if (lengthBytes !== null && lengthBytes > HELD_BYTES) {
+    return {kind: 'streamed', stream: request, lengthBytes};
+  }
+  return await holdBody(request, maxBytes);
+}
+
+async function holdBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<CallerBody> {
+  const limit = Math.min(maxBytes, HELD_BYTES);
+  return await new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const finish = (body: CallerBody) => {
+      request.off('data', onData);
+      request.off('end', onEnd);
+      request.off('close', onClose);
+      request.off('error', onClose);
+      resolve(body);
+    };
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes <= limit) return;
+      if (bytes > maxBytes) {
+        finish({kind: 'too-large'});
+        return;
+      }
+      request.pause();
+      finish({kind: 'streamed', stream: request, lengthBytes: null});
+      request.unshift(Buffer.concat(chunks, bytes));
+    };
+    const onEnd = () =>
+      finish({kind: 'held', bytes: Buffer.concat(chunks, bytes)});
+    const onClose = () => finish({kind: 'gone'});
+    request.on('data', onData);
+    request.on('end', onEnd);
+    request.on('close', onClose);
+    request.on('error', onClose);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/entry/ingress.ts
@@ -0,0 +1,162 @@
+/** Listeners for callers, readiness questions and metrics. */
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {CallerLimits} from '@wisteriarun/core';
+import {
+  NOT_READY_STATUS,
+  READINESS_PATH,
+  READY_STATUS,
+} from '@wisteriarun/platform';
+
+/** Time beyond the idle limit after which an idle connection is closed. */
+const IDLE_MARGIN_MS = 1_000;
+/** Interval of the checks for callers that are too slow. */
+const CHECK_INTERVAL_MS = 500;
+/** Longest time for a whole request; uploads may be slow. */
+const REQUEST_TIMEOUT_MS = 300_000;
+const DEFAULT_MAX_HEADER_BYTES = 65_536;
+
+/** Server for callers whose limits follow the bundle. */
+export class CallerIngress {
+  readonly #server: Server;
+  #inFlight = 0;
+  #isLeaving = false;
+
+  /**
+   * @param handle - Serves one request.
+   */
+  constructor(
+    handle: (request: IncomingMessage, response: ServerResponse) => unknown,
+  ) {
+    this.#server = createServer(
+      {
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        maxHeaderSize: DEFAULT_MAX_HEADER_BYTES,
+        noDelay: true,
+        // A repeated Host header leaves the route open.
+        requireHostHeader: true,
+      },
+      (request, response) => {
+        this.#inFlight += 1;
+        response.once('close', () => (this.#inFlight -= 1));
+        if (this.#isLeaving) response.shouldKeepAlive = false;
+        handle(request, response);
+      },
+    );
+  }
+
+  /** Requests that are not settled. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /**
+   * Starts to accept callers.
+   *
+   * @param address - Address to listen on, host:port.
+   * @returns Resolves when callers are accepted.
+   */
+  listen(address: string): Promise<void> {
+    return listen(this.#server, address);
+  }
+
+  /**
+   * Adopts the limits of a bundle for new connections.
+   *
+   * @param limits - The limits.
+   */
+  setLimits(limits: CallerLimits): void {
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    Object.assign(this.#server, {maxHeaderSize: limits.maxHeaderBytes});
+  }
+
+  /** Asks callers to leave: every answer from now on closes its connection. */
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
+  /** Closes connections without a request in progress. */
+  closeIdle(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  /** Accepts no more connections. */
+  stopAccepting(): void {
+    this.#server.close();
+    this.closeIdle();
+  }
+
+  /** Cuts all connections. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+/** Answers the balancer and scrapes. */
+export class StatusIngress {
+  readonly #servers: Server[] = [];
+
+  /**
+   * @param isReady - Whether new connections are welcome.
+   * @param metrics - Renders the metrics.
+   */
+  constructor(
+    private readonly isReady: () => boolean,
+    private readonly metrics: () => string,
+  ) {}
+
+  /**
+   * Starts to answer readiness questions.
+   *
+   * @param address - Address to listen on, host:port.
+   * @returns Resolves when questions are answered.
+   */
+  listenReadiness(address: string): Promise<void> {
+    return this.#listen(address, (request, response) => {
+      const isKnown = request.url === READINESS_PATH;
+      const status = this.isReady() ? READY_STATUS : NOT_READY_STATUS;
+      response.writeHead(isKnown ? status : 404).end();
+    });
+  }
+
+  /**
+   * Starts to answer scrapes.
+   *
+   * @param address - Address to listen on, host:port.
+   * @returns Resolves when scrapes are answered.
+   */
+  listenMetrics(address: string): Promise<void> {
+    return this.#listen(address, (_, response) => {
+      response.setHeader('content-type', 'text/plain; version=0.0.4');
+      response.end(this.metrics());
+    });
+  }
+
+  /** Closes all listeners. */
+  close(): void {
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  #listen(
+    address: string,
+    handle: (request: IncomingMessage, response: ServerResponse) => void,
+  ): Promise<void> {
+    const server = createServer(handle);
+    this.#servers.push(server);
+    return listen(server, address);
+  }
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const [host = '', port = ''] = address.split(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, () => resolve());
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/entry/load-meter.ts
@@ -0,0 +1,83 @@
+/** Measures the load of keys and the pace of servers, for the assigner. */
+import type {GatewayMessage, KeyLoad, ServerPace} from '@wisteriarun/core';
+
+/** Weight of a new sample in the average time of a kind of request. */
+const SAMPLE_WEIGHT = 0.02;
+/** Time of a request before any was measured. */
+const DEFAULT_WORK_MS = 80;
+
+interface Pace {
+  expectedMs: number;
+  actualMs: number;
+}
+
+/** Sums up samples between two reports. */
+export class LoadMeter {
+  readonly #work = new Map<string, number>();
+  #keys = new Map<string, Map<number, number>>();
+  #paces = new Map<string, Pace>();
+
+  /**
+   * Time of a request on a common server.
+   *
+   * @param service - Name of the service.
+   * @param kind - Kind of the request.
+   * @returns Milliseconds.
+   */
+  workMs(service: string, kind: string): number {
+    return this.#work.get(`${service} ${kind}`) ?? DEFAULT_WORK_MS;
+  }
+
+  /**
+   * Counts a request for a key, whether or not it will be served.
+   *
+   * @param service - Name of the service.
+   * @param kind - Kind of the request.
+   * @param key - The key.
+   */
+  arrived(service: string, kind: string, key: number): void {
+    const keys = this.#keys.get(service) ?? new Map<number, number>();
+    const workMs = this.workMs(service, kind);
+    keys.set(key, (keys.get(key) ?? 0) + workMs);
+    this.#keys.set(service, keys);
+  }
+
+  /**
+   * Records a request that ran without waiting.
+   *
+   * @param service - Name of the service.
+   * @param kind - Kind of the request.
+   * @param server - Id of the server.
+   * @param tookMs - Time that it took.
+   */
+  ran(service: string, kind: string, server: string, tookMs: number): void {
+    const expectedMs = this.workMs(service, kind);
+    const pace = this.#paces.get(server) ?? {expectedMs: 0, actualMs: 0};
+    pace.expectedMs += expectedMs;
+    pace.actualMs += tookMs;
+    this.#paces.set(server, pace);
+    const averageMs = expectedMs + SAMPLE_WEIGHT * (tookMs - expectedMs);
+    this.#work.set(`${service} ${kind}`, averageMs);
+  }
+
+  /**
+   * Takes the samples since the last report.
+   *
+   * @returns A report, or null when there is nothing to report.
+   */
+  take(): Extract<GatewayMessage, {kind: 'load'}> | null {
+    if (this.#keys.size === 0 && this.#paces.size === 0) return null;
+    const loads: KeyLoad[] = [...this.#keys].map(([service, keys]) => ({
+      service,
+      samples: [...keys].flatMap(([key, workMs]) => [key, Math.round(workMs)]),
+    }));
+    const paces: ServerPace[] = [...this.#paces].map(([server, pace]) => ({
+      server,
+      expectedMs: Math.round(pace.expectedMs),
+      actualMs: Math.round(pace.actualMs),
+    }));
+    this.#keys = new Map();
+    this.#paces = new Map();
+    return {kind: 'load', loads, paces};
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/request-headers.ts
@@ -0,0 +1,47 @@
+/** Headers of a request on its way from a caller to a server. */
+import type {IncomingMessage} from 'node:http';
+import {forwardableHeaders, KEY_COUNT, parseCount} from '@wisteriarun/core';
+import type {GatewayHeaders} from '@wisteriarun/core';
+
+/**
+ * Parses a key.
+ *
+ * @param text - Value of the header.
+ * @returns The key, or null when it is missing or not a key.
+ */
+export function parseKey(text: string | null): number | null {
+  const key = parseCount(text);
+  return key === null || key >= KEY_COUNT ? null : key;
+}
+
+/**
+ * Parses the time that a caller waits.
+ *
+ * @param text - Value of the header.
+ * @returns Milliseconds, or null when the caller states none.
+ */
+export function parseWaitMs(text: string | null): number | null {
+  return parseCount(text);
+}
+
+/**
+ * Builds the headers that a server gets.
+ *
+ * @param request - Request of the caller.
+ * @param names - Header names.
+ * @param server - Id of the server that alone may run the request.
+ * @param remainingMs - Time that the caller still waits.
+ * @returns Headers without those that concern one connection.
+ */
+export function requestHeaders(
+  request: IncomingMessage,
+  names: GatewayHeaders,
+  server: string,
+  remainingMs: number,
+): Record<string, string | string[]> {
+  const headers = forwardableHeaders(request.headers);
+  headers['host'] = request.headers.host ?? '';
+  headers[names.deadline] = String(Math.floor(remainingMs));
+  headers[names.expectedServer] = server;
+  return headers;
+}
--- /dev/null
+++ b/packages/gateway/src/entry/server-choice.ts
@@ -0,0 +1,160 @@
+/** Chooses the server of a request, or refuses it early. */
+import type {GatewayServer, GatewayService} from '@wisteriarun/core';
+import type {ServerDirectory} from '../store/server-directory.js';
+import type {OwnerView} from '../ownership/owner-view.js';
+import type {PooledServer, ServerPool} from './server-pool.js';
+
+/** Requests at a server, as a multiple of its slots, that urgent ones may reach. */
+const URGENT_DEPTH = 4;
+/** The same for all other requests. */
+const COMMON_DEPTH = 3.2;
+/** Shortest time after which a refused caller should come back. */
+const MIN_RETRY_AFTER_MS = 20;
+/** Time after which a refused caller may find another owner. */
+const OWNERLESS_RETRY_AFTER_MS = 150;
+/** Longest wait for keys that change hands. */
+const MAX_MOVE_WAIT_MS = 300;
+/** Wait that a transfer to another zone is worth, for each KiB of the body. */
+const REMOTE_MS_PER_KIB = 3;
+
+/** What matters about a request for the choice. */
+export interface ChoiceInput {
+  readonly service: GatewayService;
+  /** Null for services that are not divided by key. */
+  readonly key: number | null;
+  readonly isUrgent: boolean;
+  readonly bodyBytes: number;
+  /** Time that the request takes on a common server. */
+  readonly workMs: number;
+  /** Time that the caller still waits. */
+  readonly remainingMs: number;
+  /** Servers that have refused or failed the request. */
+  readonly tried: ReadonlySet<string>;
+}
+
+/** Where a request goes. */
+export type Choice =
+  | {
+      readonly kind: 'server';
+      readonly server: GatewayServer;
+      readonly pooled: PooledServer;
+    }
+  | {readonly kind: 'wait'; readonly waitMs: number}
+  | {
+      readonly kind: 'refuse';
+      readonly cause: 'no-server' | 'no-owner' | 'overload' | 'too-late';
+      readonly retryAfterMs: number;
+    };
+
+/** Chooses servers by owner, expected wait and zone. */
+export class ServerChoice {
+  /**
+   * @param directory - Known servers.
+   * @param owners - Owners of keys.
+   * @param pool - Connections and load of servers.
+   * @param zone - Zone of this VM.
+   */
+  constructor(
+    private readonly directory: ServerDirectory,
+    private readonly owners: OwnerView,
+    private readonly pool: ServerPool,
+    private readonly zone: string,
+  ) {}
+
+  /**
+   * Chooses.
+   *
+   * @param input - The request.
+   * @param nowMs - Monotonic time.
+   * @returns Where the request goes.
+   */
+  choose(input: ChoiceInput, nowMs: number): Choice {
+    return input.key === null
+      ? this.#anyServer(input, nowMs)
+      : this.#owner(input, input.key, nowMs);
+  }
+
+  #owner(input: ChoiceInput, key: number, nowMs: number): Choice {
+    const range = this.owners.find(input.service.name, key);
+    if (range?.moving) {
+      const spareMs = input.remainingMs - input.workMs;
+      if (spareMs > 0) {
+        return {kind: 'wait', waitMs: Math.min(spareMs, MAX_MOVE_WAIT_MS)};
+      }
+    }
+    const owner =
+      range?.server === null || range?.server === undefined
+        ? null
+        : this.directory.registry.find(range.server);
+    if (owner === null) {
+      return refuse('no-owner', OWNERLESS_RETRY_AFTER_MS);
+    }
+    if (input.tried.has(owner.id) && this.#justRefused(owner, input, nowMs)) {
+      return refuse('overload', MIN_RETRY_AFTER_MS);
+    }
+    return this.#admit(owner, input, nowMs);
+  }
+
+  #justRefused(
+    owner: GatewayServer,
+    input: ChoiceInput,
+    nowMs: number,
+  ): boolean {
+    return this.pool.of(owner, nowMs).load.waitMs(nowMs) > input.workMs;
+  }
+
+  #anyServer(input: ChoiceInput, nowMs: number): Choice {
+    let best: GatewayServer | null = null;
+    let leastMs = Infinity;
+    for (const server of this.directory.registry.ofService(
+      input.service.name,
+    )) {
+      if (server.isDraining || input.tried.has(server.id)) continue;
+      const costMs = this.#costMs(server, input, nowMs);
+      if (costMs < leastMs) {
+        best = server;
+        leastMs = costMs;
+      }
+    }
+    if (best === null) return refuse('no-server', OWNERLESS_RETRY_AFTER_MS);
+    return this.#admit(best, input, nowMs);
+  }
+
+  /** Expected time until the answer, with a surcharge for other zones. */
+  #costMs(server: GatewayServer, input: ChoiceInput, nowMs: number): number {
+    const {load} = this.pool.of(server, nowMs);
+    const remoteMs =
+      server.zone === this.zone
+        ? 0
+        : 1 + (REMOTE_MS_PER_KIB * input.bodyBytes) / 1_024;
+    const suspectMs = load.isSuspect(nowMs) ? input.remainingMs : 0;
+    // The share of busy slots breaks ties between servers without a queue.
+    const shareMs = (load.requests(nowMs) / load.slots) * load.workMs * 0.5;
+    return load.waitMs(nowMs) + load.workMs + shareMs + remoteMs + suspectMs;
+  }
+
+  #admit(server: GatewayServer, input: ChoiceInput, nowMs: number): Choice {
+    const pooled = this.pool.of(server, nowMs);
+    const {load} = pooled;
+    if (load.isSuspect(nowMs)) {
+      return refuse('no-server', OWNERLESS_RETRY_AFTER_MS);
+    }
+    const waitMs = load.waitMs(nowMs);
+    const depth = input.isUrgent ? URGENT_DEPTH : COMMON_DEPTH;
+    const isFull = load.requests(nowMs) >= depth * load.slots;
+    if (isFull) {
+      return refuse('overload', Math.max(MIN_RETRY_AFTER_MS, waitMs / 2));
+    }
+    if (waitMs + load.workMs / 2 > input.remainingMs) {
+      return refuse('too-late', Math.max(MIN_RETRY_AFTER_MS, waitMs / 2));
+    }
+    return {kind: 'server', server, pooled};
+  }
+}
+
+function refuse(
+  cause: Extract<Choice, {kind: 'refuse'}>['cause'],
+  retryAfterMs: number,
+): Choice {
+  return {kind: 'refuse', cause, retryAfterMs};
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,237 @@
+/** The gateway process: one on each entry VM. */
+import type {
+  GatewayCodec,
+  GatewayHeaders,
+  KeyedLog,
+  KeyGranter,
+} from '@wisteriarun/core';
+import {Metrics} from '@wisteriarun/runtime';
+import type {Clock, Logger} from '@wisteriarun/runtime';
+import {CallerIngress, StatusIngress} from './entry/ingress.js';
+import {LoadMeter} from './entry/load-meter.js';
+import {RequestHandler} from './entry/request-handler.js';
+import {RequestMeter} from './entry/request-meter.js';
+import {ServerChoice} from './entry/server-choice.js';
+import {ServerPool} from './entry/server-pool.js';
+import {Coordinator} from './ownership/coordinator.js';
+import {OwnerView} from './ownership/owner-view.js';
+import {OwnershipLog} from './ownership/ownership-log.js';
+import {PeerServer} from './ownership/peer-server.js';
+import type {GatewaySettings} from './settings.js';
+import {BundleHolder} from './store/bundle-holder.js';
+import {LogFollower} from './store/log-follower.js';
+import {ServerDirectory} from './store/server-directory.js';
+import {delay} from './utils/delay.js';
+
+/** Wait of a read of bundles; a silent connection is noticed after it. */
+const BUNDLE_WAIT_MS = 2_500;
+/** Time of one grant of keys. */
+const HOLD_MS = 4_000;
+/** Share of the drain bound after which servers are looked up again. */
+const DIRECTORY_PAUSE_RATIO = 0.4;
+/** Pause of the assigner between two look-ups of servers. */
+const ASSIGNER_PAUSE_MS = 200;
+/** Interval of load reports. */
+const REPORT_INTERVAL_MS = 500;
+/** Share of the common retry budget that is used. */
+const BUDGET_USE = 0.7;
+/** Time after the stop signal until idle connections are closed. */
+const LEAVE_MS = 2_600;
+/** Time before the end of the grace period at which the process ends. */
+const GRACE_MARGIN_MS = 400;
+/** Interval at which a stopping process looks for requests in flight. */
+const STOP_POLL_MS = 50;
+
+/** Outside systems of the gateway. */
+export interface GatewayPorts {
+  readonly log: KeyedLog;
+  readonly granter: KeyGranter;
+  readonly codec: GatewayCodec;
+  readonly headers: GatewayHeaders;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** All parts of the process. */
+export class Gateway {
+  readonly #metrics = new Metrics();
+  readonly #pool = new ServerPool();
+  readonly #owners = new OwnerView();
+  readonly #loads = new LoadMeter();
+  readonly #bundleFollower: LogFollower;
+  readonly #serverFollower: LogFollower;
+  readonly #bundles: BundleHolder;
+  readonly #directory: ServerDirectory;
+  readonly #peers: PeerServer;
+  readonly #coordinator: Coordinator;
+  readonly #handler: RequestHandler;
+  readonly #callers: CallerIngress;
+  readonly #status: StatusIngress;
+  #reportTimer: NodeJS.Timeout | null = null;
+  #isStopping = false;
+
+  /**
+   * @param settings - Checked settings.
+   * @param ports - Outside systems.
+   */
+  constructor(
+    private readonly settings: GatewaySettings,
+    private readonly ports: GatewayPorts,
+  ) {
+    const {log, granter, codec, headers, clock, logger} = ports;
+    this.#bundleFollower = new LogFollower(
+      log,
+      'bundles',
+      {waitMs: BUNDLE_WAIT_MS, pauseMs: () => 0},
+      clock,
+      logger,
+    );
+    this.#serverFollower = new LogFollower(
+      log,
+      'servers',
+      {waitMs: 0, pauseMs: () => this.#directoryPauseMs()},
+      clock,
+      logger,
+    );
+    this.#bundles = new BundleHolder(this.#bundleFollower, codec, logger);
+    this.#directory = new ServerDirectory(
+      this.#serverFollower,
+      codec,
+      clock,
+      logger,
+    );
+    this.#peers = new PeerServer(logger);
+    this.#coordinator = new Coordinator({
+      log: new OwnershipLog(log, logger),
+      owners: this.#owners,
+      directory: this.#directory,
+      bundles: this.#bundles,
+      granter,
+      peers: this.#peers,
+      clock,
+      logger,
+      holdMs: Math.min(HOLD_MS, settings.holdMaxMs),
+      vm: settings.vm.id,
+      zone: settings.vm.zone,
+      peerAddress: `${settings.vm.host}:${settings.peerPort}`,
+    });
+    this.#handler = new RequestHandler({
+      bundles: this.#bundles,
+      owners: this.#owners,
+      choice: new ServerChoice(
+        this.#directory,
+        this.#owners,
+        this.#pool,
+        settings.vm.zone,
+      ),
+      loads: this.#loads,
+      meter: new RequestMeter(this.#metrics),
+      names: headers,
+      clock,
+      logger,
+    });
+    this.#callers = new CallerIngress((request, response) =>
+      this.#handler.handle(request, response).catch((error: unknown) => {
+        const cause = error instanceof Error ? error.stack : String(error);
+        logger.error('request-failed', {cause});
+        response.destroy();
+      }),
+    );
+    this.#status = new StatusIngress(
+      () => this.isReady,
+      () => this.#metrics.render(),
+    );
+    void this.#bundles.changes.stream.observe(({limits}) =>
+      this.#callers.setLimits(limits),
+    );
+  }
+
+  /** Whether new connections of callers are welcome. */
+  get isReady(): boolean {
+    if (this.#isStopping || this.#bundles.bundle === null) return false;
+    const isKeyed = this.#bundles.bundle.services.some(({isKeyed}) => isKeyed);
+    return this.#directory.isLoaded && (!isKeyed || this.#owners.isLoaded);
+  }
+
+  /**
+   * Starts all parts.
+   *
+   * @returns Resolves when all listeners are open.
+   */
+  async start(): Promise<void> {
+    const {settings} = this;
+    const {host} = settings.vm;
+    await Promise.all([
+      this.#callers.listen(settings.callersAddress),
+      this.#status.listenReadiness(settings.readinessAddress),
+      this.#status.listenMetrics(`${host}:${settings.metricsPort}`),
+      this.#peers.listen(host, settings.peerPort),
+    ]);
+    this.#bundleFollower.start();
+    this.#serverFollower.start();
+    this.#coordinator.start();
+    this.#reportTimer = setInterval(() => this.#report(), REPORT_INTERVAL_MS);
+    this.ports.logger.info('started', {callers: settings.callersAddress});
+  }
+
+  /**
+   * Stops gracefully: no request in flight is cut before the grace period
+   * ends.
+   *
+   * @returns Resolves when the process may end.
+   */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const {clock, logger} = this.ports;
+    const startedAtMs = clock.monotonicMs();
+    const endAtMs = startedAtMs + this.settings.graceMs - GRACE_MARGIN_MS;
+    this.#callers.leave();
+    await this.#coordinator.retire();
+    await delay(startedAtMs + LEAVE_MS - clock.monotonicMs());
+    this.#callers.stopAccepting();
+    while (this.#callers.inFlight > 0 && clock.monotonicMs() < endAtMs) {
+      await delay(STOP_POLL_MS);
+      this.#callers.closeIdle();
+    }
+    logger.info('stopped', {
+      in_flight: this.#callers.inFlight,
+      took_ms: Math.round(clock.monotonicMs() - startedAtMs),
+    });
+    this.close();
+  }
+
+  /** Closes everything at once. */
+  close(): void {
+    if (this.#reportTimer !== null) clearInterval(this.#reportTimer);
+    this.#coordinator.close();
+    this.#bundleFollower.close();
+    this.#serverFollower.close();
+    this.#directory.close();
+    this.#bundles.close();
+    this.#peers.close();
+    this.#callers.close();
+    this.#status.close();
+    this.#pool.close();
+    this.ports.granter.close();
+    this.ports.log.close();
+  }
+
+  #directoryPauseMs(): number {
+    return this.#coordinator.isAssigner
+      ? ASSIGNER_PAUSE_MS
+      : this.settings.drainMs * DIRECTORY_PAUSE_RATIO;
+  }
+
+  #report(): void {
+    const {retryRatio, retrySlack} = this.settings;
+    const vmCount = Math.max(1, this.#owners.vmCount);
+    this.#handler.budgets.setLimits(
+      retryRatio * BUDGET_USE,
+      (retrySlack * BUDGET_USE) / vmCount,
+    );
+    this.#pool.sweep(this.ports.clock.monotonicMs());
+    const report = this.#loads.take();
+    if (report !== null) this.#coordinator.report(report);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * The gateway: wisteriarun in front of servers that check grants of key ranges.
+ *
+ * @packageDocumentation
+ */
+export * from './gateway.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/gateway/src/main.ts
@@ -0,0 +1,66 @@
+#!/usr/bin/env node
+/** Entry point of the wisteriarun gateway. */
+import {describeError} from '@wisteriarun/core';
+import {
+  HttpKeyedLog,
+  HttpKeyGranter,
+  PLATFORM_CODEC,
+  PLATFORM_HEADERS,
+} from '@wisteriarun/platform';
+import {createLogger, SystemClock} from '@wisteriarun/runtime';
+import {Command} from 'commander';
+import {Gateway} from './gateway.js';
+import {loadGatewaySettings} from './settings.js';
+
+/** Exit code for settings that are not valid. */
+const EXIT_SETTINGS = 2;
+/** Exit code for a port that cannot be opened. */
+const EXIT_START = 3;
+
+const options = new Command('wisteriarun')
+  .description('Router for servers that own keys exclusively.')
+  .option('--config <file>', 'settings file in INI format')
+  .option('--check', 'check the settings and exit')
+  .parse()
+  .opts<{config?: string; check?: boolean}>();
+
+const path = options.config ?? process.env['WISTERIARUN_BOOT'] ?? '';
+const loaded = loadGatewaySettings(path);
+if (loaded.isErr) {
+  for (const error of loaded.error) {
+    process.stderr.write(`${describeError(error)}\n`);
+  }
+  process.exit(EXIT_SETTINGS);
+}
+if (options.check) process.exit(0);
+
+const settings = loaded.value;
+const logger = createLogger({
+  level: settings.logLevel,
+  process: settings.vm.id,
+  zone: settings.vm.zone,
+  write: line => process.stdout.write(line + '\n'),
+});
+const gateway = new Gateway(settings, {
+  log: new HttpKeyedLog(settings.storeAddress),
+  granter: new HttpKeyGranter(),
+  codec: PLATFORM_CODEC,
+  headers: PLATFORM_HEADERS,
+  clock: new SystemClock(),
+  logger,
+});
+
+process.on('SIGTERM', () => {
+  logger.info('signal', {signal: 'SIGTERM'});
+  void gateway.stop().then(() => process.exit(0));
+});
+// The settings hold nothing that may change while the process runs.
+process.on('SIGHUP', () => logger.info('signal', {signal: 'SIGHUP'}));
+
+try {
+  await gateway.start();
+} catch (error) {
+  const cause = error instanceof Error ? error.message : 'unknown';
+  logger.error('start-failed', {cause});
+  process.exit(EXIT_START);
+}
--- /dev/null
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -0,0 +1,412 @@
+/** Assigns the key ranges of all services, while this VM is elected. */
+import {
+  HoldLedger,
+  initialRanges,
+  KeyLoadMap,
+  RangePlanner,
+  ServerSpeeds,
+} from '@wisteriarun/core';
+import type {
+  GatewayMessage,
+  GatewayServer,
+  GatewayService,
+  KeyGranter,
+  OwnershipRecord,
+  PlannedServer,
+  RangeOwner,
+} from '@wisteriarun/core';
+import type {Clock, Logger} from '@wisteriarun/runtime';
+import type {BundleHolder} from '../store/bundle-holder.js';
+import type {ServerDirectory} from '../store/server-directory.js';
+import type {PeerServer} from './peer-server.js';
+import {cutRange, RangeMover} from './range-mover.js';
+import {Renewals} from './renewals.js';
+import {ServerReach} from './server-reach.js';
+import type {TablePublisher} from './table-publisher.js';
+
+/** Interval of the assigner's checks. */
+const TICK_MS = 100;
+/** A gap between two checks that shows a pause of this process. */
+const PAUSE_MS = 700;
+/** Interval of heartbeats to the other VMs. */
+const HEARTBEAT_MS = 300;
+/** Interval at which the table is appended although nothing changed. */
+const APPEND_INTERVAL_MS = 600;
+/** Time after the last append for which grants may still be renewed. */
+export const AUTHORITY_MS = 15_000;
+/** Interval at which moves for balance are planned. */
+const BALANCE_INTERVAL_MS = 500;
+/** Time after which a sample of load counts half. */
+const LOAD_HALF_LIFE_MS = 2_500;
+/** Time without a new server after which the first ranges are given out. */
+const SETTLED_MS = 600;
+/** Share of its later speed that a server has after its start. */
+const COLD_SPEED = 0.5;
+const MS_PER_S = 1_000;
+
+/** Parts that the assigner works with. */
+export interface AssignerParts {
+  readonly publisher: TablePublisher;
+  readonly directory: ServerDirectory;
+  readonly bundles: BundleHolder;
+  readonly granter: KeyGranter;
+  readonly peers: PeerServer;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly holdMs: number;
+}
+
+/** Decides owners, renews their grants and answers for both. */
+export class Assigner {
+  readonly #ledger = new HoldLedger();
+  readonly #reach = new ServerReach();
+  readonly #speeds = new ServerSpeeds();
+  readonly #loads = new Map<string, KeyLoadMap>();
+  readonly #addresses = new Map<string, string>();
+  readonly #mover: RangeMover;
+  readonly #renewals: Renewals;
+  readonly #timer: NodeJS.Timeout;
+  #serversChangedAtMs: number;
+  #beatAtMs = 0;
+  #balancedAtMs = 0;
+  #tickedAtMs: number;
+  #tickedWallMs: number;
+  #isVerified = true;
+  #isClosed = false;
+
+  /**
+   * Takes over from the assigner of the last record.
+   *
+   * @param parts - Parts that the assigner works with.
+   * @param former - Record of the former assigner; null when there was none.
+   * @param onStepDown - Called when another VM has been elected.
+   */
+  constructor(
+    private readonly parts: AssignerParts,
+    former: OwnershipRecord | null,
+    private readonly onStepDown: () => void,
+  ) {
+    const {publisher, clock, logger, holdMs, granter, directory} = parts;
+    const nowMs = clock.monotonicMs();
+    this.#serversChangedAtMs = nowMs;
+    this.#tickedAtMs = nowMs;
+    this.#tickedWallMs = clock.wallMs();
+    this.#mover = new RangeMover({
+      publisher,
+      granter,
+      ledger: this.#ledger,
+      reach: this.#reach,
+      clock,
+      logger,
+      holdMs,
+      usable: server => this.#usable(server),
+      addressOf: server => this.#addresses.get(server) ?? null,
+      place: range => this.#place(range),
+      mayGrant: () => this.#mayGrant(),
+    });
+    this.#renewals = new Renewals(this.#mover, clock, logger, holdMs);
+    for (const server of directory.registry.servers.values()) {
+      this.#addresses.set(server.id, server.address);
+    }
+    if (former !== null) this.#takeOver(former, nowMs);
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    this.#tick();
+  }
+
+  /**
+   * Adds a report of load.
+   *
+   * @param report - Report of a VM.
+   */
+  addLoad(report: Extract<GatewayMessage, {kind: 'load'}>): void {
+    const nowMs = this.parts.clock.monotonicMs();
+    for (const {service, samples} of report.loads) {
+      const load = this.#load(service);
+      for (let at = 0; at + 1 < samples.length; at += 2) {
+        const key = samples[at]!;
+        if (Number.isInteger(key)) load.add(key, samples[at + 1]!);
+      }
+    }
+    for (const {server, expectedMs, actualMs} of report.paces) {
+      this.#speeds.add(server, expectedMs, actualMs, nowMs);
+    }
+  }
+
+  /** Notes that a server appeared, changed or went. */
+  serversChanged(server: GatewayServer | null): void {
+    if (server !== null) {
+      this.#addresses.set(server.id, server.address);
+      this.#ledger.restarted(server.id, server.bornMs);
+      this.#endFormerTenants(server);
+    }
+    this.#serversChangedAtMs = this.parts.clock.monotonicMs();
+    this.#tick();
+  }
+
+  /** Gives the term up and stops. */
+  async resign(): Promise<void> {
+    this.close();
+    await this.parts.publisher.resign();
+  }
+
+  /** Stops without a word. */
+  close(): void {
+    this.#isClosed = true;
+    clearInterval(this.#timer);
+    this.#mover.close();
+  }
+
+  /** The former assigner may have granted its table until its term ended. */
+  #takeOver(former: OwnershipRecord, nowMs: number): void {
+    const {publisher, holdMs, directory} = this.parts;
+    const authorityMs = former.resigned ? 0 : AUTHORITY_MS;
+    for (const range of former.ranges) {
+      for (const server of [range.server, range.former]) {
+        if (server === null) continue;
+        const hold = {...range, server, bornMs: this.#bornOf(range, server)};
+        this.#ledger.extend(
+          hold,
+          holdMs + authorityMs,
+          nowMs,
+          !former.resigned,
+        );
+      }
+    }
+    for (const {id, bornMs} of directory.registry.servers.values()) {
+      this.#ledger.restarted(id, bornMs);
+    }
+    for (const range of former.ranges) {
+      if (range.former !== null) {
+        const held = {...range, server: range.former, former: null};
+        this.#mover.move(held, range.server, 'takeover');
+      } else if (range.server !== null) {
+        // A higher fence shuts the former assigner out.
+        const fence = this.#mover.nextFence();
+        publisher.table.assign({...range, fence, moving: false});
+        this.#renewals.hurry(range.server);
+      }
+    }
+  }
+
+  #bornOf(range: RangeOwner, server: string): number {
+    if (server === range.server) return range.bornMs;
+    return this.parts.directory.registry.find(server)?.bornMs ?? 0;
+  }
+
+  /** An address that another server uses now has no former one behind it. */
+  #endFormerTenants(server: GatewayServer): void {
+    for (const [id, address] of this.#addresses) {
+      if (id === server.id || address !== server.address) continue;
+      const listed = this.parts.directory.registry.find(id);
+      if (listed !== null && listed.bornMs >= server.bornMs) continue;
+      this.#ledger.restarted(id, Infinity);
+      this.#addresses.delete(id);
+    }
+  }
+
+  #tick(): void {
+    if (this.#isClosed) return;
+    const {publisher, clock} = this.parts;
+    if (publisher.isSuperseded) {
+      this.close();
+      this.onStepDown();
+      return;
+    }
+    const nowMs = clock.monotonicMs();
+    this.#detectPause(nowMs);
+    this.#beat(nowMs);
+    if (!this.#mayGrant()) return;
+    for (const service of this.parts.bundles.bundle?.services ?? []) {
+      if (service.isKeyed) this.#start(service, nowMs);
+    }
+    this.#followServers(nowMs);
+    this.#renew();
+    this.#balance(nowMs);
+  }
+
+  /** After a pause another VM may have been elected. */
+  #detectPause(nowMs: number): void {
+    const {clock, logger, publisher} = this.parts;
+    const wallMs = clock.wallMs();
+    const gapMs = Math.max(
+      nowMs - this.#tickedAtMs,
+      Math.abs(wallMs - this.#tickedWallMs),
+    );
+    this.#tickedAtMs = nowMs;
+    this.#tickedWallMs = wallMs;
+    if (gapMs < PAUSE_MS || !this.#isVerified) return;
+    logger.warn('pause-detected', {gap_ms: Math.round(gapMs)});
+    this.#isVerified = false;
+    const verify = async () => {
+      while (!this.#isClosed && !this.#isVerified && !publisher.isSuperseded) {
+        this.#isVerified = await publisher.persist();
+      }
+    };
+    void verify();
+  }
+
+  #mayGrant(): boolean {
+    const {publisher, clock} = this.parts;
+    return (
+      this.#isVerified &&
+      !publisher.isSuperseded &&
+      clock.monotonicMs() - publisher.appendedAtMs < AUTHORITY_MS
+    );
+  }
+
+  #beat(nowMs: number): void {
+    const {publisher, peers} = this.parts;
+    if (nowMs - this.#beatAtMs >= HEARTBEAT_MS) {
+      this.#beatAtMs = nowMs;
+      peers.broadcast({kind: 'heartbeat', term: publisher.term});
+    }
+    if (nowMs - publisher.appendedAtMs >= APPEND_INTERVAL_MS) {
+      void publisher.persist();
+    }
+  }
+
+  /** Gives out the keys of a service for the first time. */
+  #start(service: GatewayService, nowMs: number): void {
+    const {publisher, directory} = this.parts;
+    if (publisher.table.ofService(service.name).length > 0) return;
+    if (nowMs - this.#serversChangedAtMs < SETTLED_MS) return;
+    const servers = directory.registry
+      .ofService(service.name)
+      .filter(server => !server.isDraining);
+    if (servers.length === 0) return;
+    const planned = servers.map(server => this.#planned(server));
+    for (const {fromKey, toKey, to} of initialRanges(planned)) {
+      this.#mover.establish({
+        service: service.name,
+        fromKey,
+        toKey,
+        server: to,
+        former: null,
+        bornMs: 0,
+        fence: 0,
+        moving: true,
+      });
+    }
+  }
+
+  /** Moves keys away from servers that leave or are lost. */
+  #followServers(nowMs: number): void {
+    const {publisher, directory} = this.parts;
+    const leaving = new Map<string, RangeOwner[]>();
+    for (const range of publisher.table.all()) {
+      if (range.moving || range.server === null) continue;
+      const server = directory.registry.find(range.server);
+      if (server !== null && server.bornMs !== range.bornMs) {
+        this.#ledger.restarted(server.id, server.bornMs);
+        if (!server.isDraining) {
+          this.#mover.establish(range);
+          continue;
+        }
+      }
+      const stays =
+        server !== null &&
+        !server.isDraining &&
+        !this.#reach.isLost(server.id, nowMs);
+      if (stays) continue;
+      const ranges = leaving.get(range.service) ?? [];
+      ranges.push(range);
+      leaving.set(range.service, ranges);
+    }
+    for (const [service, ranges] of leaving) this.#evacuate(service, ranges);
+  }
+
+  #evacuate(service: string, ranges: readonly RangeOwner[]): void {
+    const planner = this.#planner(service);
+    for (const range of ranges) {
+      for (const move of planner.place([range])) {
+        this.#mover.move(cutRange(range, move), move.to, 'leaving');
+      }
+    }
+  }
+
+  #renew(): void {
+    const {publisher, directory} = this.parts;
+    const held = new Map<string, RangeOwner[]>();
+    for (const range of publisher.table.all()) {
+      if (range.moving || range.server === null) continue;
+      const ranges = held.get(range.server) ?? [];
+      ranges.push(range);
+      held.set(range.server, ranges);
+    }
+    for (const [id, ranges] of held) {
+      const server = directory.registry.find(id);
+      if (server === null) continue;
+      this.#renewals.renew(server, ranges, range => this.#onFenced(range));
+    }
+  }
+
+  #onFenced(range: RangeOwner): void {
+    const {publisher} = this.parts;
+    const present = publisher.table.find(range.service, range.fromKey);
+    if (present?.fence !== range.fence || present.moving) return;
+    // Either another VM was elected, which the append shows, or the fence was
+    // used before; a higher one settles both.
+    void publisher.persist().then(isPersisted => {
+      if (isPersisted && !this.#isClosed) this.#mover.establish(present);
+    });
+  }
+
+  #balance(nowMs: number): void {
+    if (nowMs - this.#balancedAtMs < BALANCE_INTERVAL_MS) return;
+    this.#balancedAtMs = nowMs;
+    const {publisher, bundles} = this.parts;
+    if (nowMs - publisher.appendedAtMs > 2 * APPEND_INTERVAL_MS) return;
+    for (const [name, load] of this.#loads) {
+      load.decay(nowMs);
+      if (bundles.service(name)?.isKeyed !== true) continue;
+      for (const move of this.#planner(name).rebalance()) {
+        const parts = [...publisher.table.overlapping(name, move)];
+        for (const range of parts) {
+          if (range.moving || range.server !== move.from) continue;
+          this.#mover.move(range, move.to, 'balance');
+        }
+      }
+    }
+  }
+
+  #planner(service: string): RangePlanner {
+    const {publisher, directory, clock} = this.parts;
+    const nowMs = clock.monotonicMs();
+    const servers = directory.registry
+      .ofService(service)
+      .filter(
+        server => !server.isDraining && !this.#reach.isLost(server.id, nowMs),
+      )
+      .map(server => this.#planned(server));
+    return new RangePlanner(
+      this.#load(service),
+      servers,
+      publisher.table.ofService(service),
+    );
+  }
+
+  #planned(server: GatewayServer): PlannedServer {
+    const speed = this.#speeds.of(server.id);
+    const warm = server.warmupLeftMs > 0 ? COLD_SPEED : 1;
+    return {id: server.id, capacity: server.slots * MS_PER_S * speed * warm};
+  }
+
+  #usable(server: string): GatewayServer | null {
+    const found = this.parts.directory.registry.find(server);
+    return found === null || found.isDraining ? null : found;
+  }
+
+  #place(range: RangeOwner): GatewayServer | null {
+    const [move] = this.#planner(range.service).place([range]);
+    return move === undefined ? null : this.#usable(move.to);
+  }
+
+  #load(service: string): KeyLoadMap {
+    let load = this.#loads.get(service);
+    if (load === undefined) {
+      load = new KeyLoadMap(LOAD_HALF_LIFE_MS);
+      this.#loads.set(service, load);
+    }
+    return load;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -0,0 +1,278 @@
+/** Elects the assigner, and follows or replaces it. */
+import {randomUUID} from 'node:crypto';
+import type {
+  AssignerContact,
+  GatewayMessage,
+  OwnershipRecord,
+} from '@wisteriarun/core';
+import {delay} from '../utils/delay.js';
+import {Assigner} from './assigner.js';
+import type {AssignerParts} from './assigner.js';
+import type {OwnerView} from './owner-view.js';
+import type {OwnershipLog, PlacedRecord} from './ownership-log.js';
+import {PeerLink} from './peer-link.js';
+import {TablePublisher} from './table-publisher.js';
+
+/** Interval of the checks of a VM that does not assign. */
+const STEP_MS = 100;
+/** Silence after which the link to the assigner counts as broken. */
+const LINK_SILENCE_MS = 900;
+/** Interval at which the log is read while there is no link. */
+const WATCH_INTERVAL_MS = 250;
+/** Time without a record of the assigner after which it is replaced. */
+const REPLACE_AFTER_MS = 1_200;
+/** Elections are spread over this time, so that one VM comes first. */
+const ELECTION_SPREAD_MS = 250;
+/** Interval between two tries to link to the assigner. */
+const RELINK_MS = 500;
+
+/** Parts that the coordinator works with. */
+export interface CoordinatorParts extends Omit<AssignerParts, 'publisher'> {
+  readonly log: OwnershipLog;
+  readonly owners: OwnerView;
+  readonly vm: string;
+  readonly zone: string;
+  readonly peerAddress: string;
+}
+
+/** One VM's part in the assignment of keys. */
+export class Coordinator {
+  readonly #contact: AssignerContact;
+  #assigner: Assigner | null = null;
+  #link: PeerLink | null = null;
+  #linkedTo: string | null = null;
+  #linkTriedAtMs = -Infinity;
+  #heardAtMs: number;
+  #heardOffset = -1;
+  #isLoaded = false;
+  #isClosed = false;
+  #mayAssign = true;
+  readonly #spreadMs = Math.random() * ELECTION_SPREAD_MS;
+
+  /**
+   * @param parts - Parts that the coordinator works with.
+   */
+  constructor(private readonly parts: CoordinatorParts) {
+    this.#contact = {
+      vm: parts.vm,
+      peerAddress: parts.peerAddress,
+      incarnation: randomUUID(),
+    };
+    this.#heardAtMs = parts.clock.monotonicMs();
+    void parts.peers.messages.stream.observe(({message, reply}) => {
+      if (this.#assigner === null) return;
+      if (message.kind === 'load') this.#assigner.addLoad(message);
+      if (message.kind === 'hello') {
+        const view = this.#publisher?.view;
+        if (view !== undefined) reply({kind: 'view', view});
+      }
+    });
+    void parts.directory.changes.stream.observe(server =>
+      this.#assigner?.serversChanged(server),
+    );
+  }
+
+  #publisher: TablePublisher | null = null;
+
+  /** Whether this VM assigns. */
+  get isAssigner(): boolean {
+    return this.#assigner !== null;
+  }
+
+  /** Whether this VM has news from the assigner or the log. */
+  get isLinked(): boolean {
+    return this.isAssigner || this.#isLinkAlive();
+  }
+
+  /** Starts to take part. */
+  start(): void {
+    void this.#run();
+  }
+
+  /**
+   * Hands a report of load to the assigner.
+   *
+   * @param report - Report of this VM; dropped while there is no link.
+   */
+  report(report: Extract<GatewayMessage, {kind: 'load'}>): void {
+    if (this.#assigner !== null) this.#assigner.addLoad(report);
+    else this.#link?.send(report);
+  }
+
+  /** Gives the assignment up and takes no part in elections any more. */
+  async retire(): Promise<void> {
+    this.#mayAssign = false;
+    const assigner = this.#assigner;
+    if (assigner === null) return;
+    this.#stopAssigning();
+    await assigner.resign();
+    this.parts.logger.info('assigner-resigned', {});
+  }
+
+  /** Stops. */
+  close(): void {
+    this.#isClosed = true;
+    this.#assigner?.close();
+    this.#link?.close();
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#isClosed) {
+      const waitMs = await this.#step();
+      await delay(waitMs);
+    }
+  }
+
+  /** Returns the wait until the next step, in milliseconds. */
+  async #step(): Promise<number> {
+    if (this.#assigner !== null) return STEP_MS;
+    if (!this.#isLoaded) return await this.#load();
+    if (this.#isLinkAlive()) {
+      this.#heardAtMs = this.parts.clock.monotonicMs();
+      return STEP_MS;
+    }
+    return await this.#watch();
+  }
+
+  async #load(): Promise<number> {
+    const {log, directory, bundles} = this.parts;
+    if (!directory.isLoaded || bundles.bundle === null) return STEP_MS;
+    const newest = await log.refresh();
+    if (newest.isErr) return WATCH_INTERVAL_MS;
+    this.#isLoaded = true;
+    this.#heardAtMs = this.parts.clock.monotonicMs();
+    if (newest.value === null) {
+      await delay(this.#spreadMs);
+      const again = await log.refresh();
+      if (again.isOk && again.value === null) await this.#elect(null);
+      return STEP_MS;
+    }
+    this.#adopt(newest.value);
+    return 0;
+  }
+
+  /** Reads the log while there is no link, and replaces a silent assigner. */
+  async #watch(): Promise<number> {
+    const {clock, log} = this.parts;
+    const newest = await log.refresh();
+    const nowMs = clock.monotonicMs();
+    if (newest.isErr) {
+      // Without the log it cannot be told whether the assigner is alive.
+      this.#heardAtMs = nowMs;
+      this.#tryLink(log.newest, nowMs);
+      return WATCH_INTERVAL_MS;
+    }
+    const placed = newest.value;
+    if (placed !== null && placed.offset > this.#heardOffset) {
+      this.#adopt(placed);
+    }
+    if (placed === null || this.#isVacant(placed.record)) {
+      await delay(this.#spreadMs / 4);
+      await this.#elect(placed);
+      return STEP_MS;
+    }
+    if (nowMs - this.#heardAtMs > REPLACE_AFTER_MS + this.#spreadMs) {
+      await this.#elect(placed);
+      return STEP_MS;
+    }
+    this.#tryLink(placed, nowMs);
+    return this.#link === null ? WATCH_INTERVAL_MS : STEP_MS;
+  }
+
+  /** A record of this VM's earlier process, or one that gives the term up. */
+  #isVacant(record: OwnershipRecord): boolean {
+    return record.resigned || record.assigner.vm === this.#contact.vm;
+  }
+
+  #adopt({record, offset}: PlacedRecord): void {
+    const {clock, owners} = this.parts;
+    this.#heardOffset = offset;
+    this.#heardAtMs = clock.monotonicMs();
+    const term = record.term < 0 ? offset : record.term;
+    owners.replace({
+      term,
+      revision: record.revision,
+      vmCount: owners.vmCount,
+      ranges: record.ranges,
+    });
+  }
+
+  #isLinkAlive(): boolean {
+    const link = this.#link;
+    return link !== null && link.isOpen && link.silentMs < LINK_SILENCE_MS;
+  }
+
+  #tryLink(placed: PlacedRecord | null, nowMs: number): void {
+    if (placed === null || this.#isVacant(placed.record)) return;
+    const {incarnation, peerAddress} = placed.record.assigner;
+    const isSame = this.#linkedTo === incarnation && this.#isLinkAlive();
+    if (isSame || nowMs - this.#linkTriedAtMs < RELINK_MS) return;
+    this.#linkTriedAtMs = nowMs;
+    this.#linkedTo = incarnation;
+    this.#link?.close();
+    const {vm, zone, clock, logger} = this.parts;
+    this.#link = new PeerLink(
+      peerAddress,
+      {kind: 'hello', vm, zone},
+      message => this.#receive(message),
+      clock,
+      logger,
+    );
+  }
+
+  #receive(message: GatewayMessage): void {
+    const {owners, logger} = this.parts;
+    if (message.kind === 'view') owners.replace(message.view);
+    if (message.kind === 'change' && !owners.change(message.view)) {
+      logger.info('view-gap', {
+        term: message.view.term,
+        revision: message.view.revision,
+      });
+      const {vm, zone} = this.parts;
+      this.#link?.send({kind: 'hello', vm, zone});
+    }
+  }
+
+  async #elect(placed: PlacedRecord | null): Promise<void> {
+    if (!this.#mayAssign || this.#isClosed) return;
+    const {log, logger, clock} = this.parts;
+    const former = placed?.record ?? null;
+    const answer = await log.append({
+      id: `${this.#contact.incarnation}-elect-${clock.monotonicMs()}`,
+      term: -1,
+      revision: 0,
+      assigner: this.#contact,
+      resigned: false,
+      ranges: former?.ranges ?? [],
+    });
+    if (answer.isErr || answer.value.kind === 'superseded') return;
+    const term = answer.value.offset;
+    logger.info('assigner-elected', {term, former: former?.assigner.vm});
+    if (this.#isClosed || !this.#mayAssign) return;
+    this.#link?.close();
+    this.#link = null;
+    this.#publisher = new TablePublisher(
+      this.parts,
+      this.#contact,
+      term,
+      former?.ranges ?? [],
+    );
+    this.#assigner = new Assigner(
+      {...this.parts, publisher: this.#publisher},
+      former,
+      () => this.#steppedDown(),
+    );
+  }
+
+  #steppedDown(): void {
+    this.parts.logger.warn('assigner-superseded', {});
+    this.#stopAssigning();
+  }
+
+  #stopAssigning(): void {
+    this.#assigner = null;
+    this.#publisher = null;
+    this.#heardAtMs = this.parts.clock.monotonicMs();
+    this.parts.peers.disconnect();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ownership/ownership-log.ts
@@ -0,0 +1,120 @@
+/** The log of ownership records: who assigns, and which server owns what. */
+import {ERRORS, ownershipRecordSchema} from '@wisteriarun/core';
+import type {
+  KeyedLog,
+  OwnershipRecord,
+  WisteriarunError,
+} from '@wisteriarun/core';
+import type {Logger} from '@wisteriarun/runtime';
+import {Encoder} from 'cbor-x';
+import {Result} from 'true-myth';
+
+const LOG = 'ownership';
+const KEY = 'table';
+/** Times that an append without an answer is looked up and tried again. */
+const MAX_TRIES = 3;
+
+const codec = new Encoder({useRecords: false});
+
+/** A record with its place in the log. */
+export interface PlacedRecord {
+  readonly record: OwnershipRecord;
+  readonly offset: number;
+}
+
+/** How an append ended. */
+export type OwnershipAppend =
+  | {readonly kind: 'appended'; readonly offset: number}
+  /** Another VM has appended since. */
+  | {readonly kind: 'superseded'};
+
+/** Reads and appends records; every append names the end it was decided on. */
+export class OwnershipLog {
+  #endOffset: number | null = null;
+  #newest: PlacedRecord | null = null;
+
+  /**
+   * @param log - The platform's log.
+   * @param logger - Receives malformed records.
+   */
+  constructor(
+    private readonly log: KeyedLog,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Newest record that was read or appended. */
+  get newest(): PlacedRecord | null {
+    return this.#newest;
+  }
+
+  /**
+   * Reads the newest record.
+   *
+   * @returns Null when there is none, or `log-unavailable`.
+   */
+  async refresh(): Promise<Result<PlacedRecord | null, WisteriarunError>> {
+    const image = await this.log.newest(LOG);
+    if (image.isErr) return Result.err(image.error);
+    this.#endOffset = image.value.endOffset;
+    for (const {key, value, offset} of image.value.records) {
+      if (key !== KEY || value === null) continue;
+      const record = this.#decode(value);
+      if (record !== null) this.#newest = {record, offset};
+    }
+    return Result.ok(this.#newest);
+  }
+
+  /**
+   * Appends a record unless another VM has appended since the last read or
+   * append of this one.
+   *
+   * @param record - The record; its id must be new.
+   * @returns The outcome, or an error when it is not known.
+   */
+  async append(
+    record: OwnershipRecord,
+  ): Promise<Result<OwnershipAppend, WisteriarunError>> {
+    const value = codec.encode(record);
+    let failure: WisteriarunError = ERRORS.logUnavailable('not tried');
+    for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+      if (this.#endOffset === null) {
+        return Result.err(ERRORS.logUnavailable('end of the log not known'));
+      }
+      const answer = await this.log.appendAt(LOG, KEY, value, this.#endOffset);
+      if (answer.isOk && answer.value.kind === 'appended') {
+        return this.#appended(record, answer.value.offset);
+      }
+      if (answer.isErr && answer.error.kind === 'log-unavailable') {
+        return Result.err(answer.error);
+      }
+      if (answer.isErr) failure = answer.error;
+      // The record may be there although its answer was lost.
+      const newest = await this.refresh();
+      if (newest.isErr) return Result.err(newest.error);
+      if (newest.value?.record.id === record.id) {
+        return this.#appended(record, newest.value.offset);
+      }
+      if (answer.isOk) return Result.ok({kind: 'superseded'});
+    }
+    return Result.err(failure);
+  }
+
+  #appended(
+    record: OwnershipRecord,
+    offset: number,
+  ): Result<OwnershipAppend, WisteriarunError> {
+    this.#endOffset = offset + 1;
+    this.#newest = {record, offset};
+    return Result.ok({kind: 'appended', offset});
+  }
+
+  #decode(value: Buffer): OwnershipRecord | null {
+    try {
+      return ownershipRecordSchema.parse(codec.decode(value));
+    } catch (error) {
+      const cause = error instanceof Error ? error.message : 'unknown cause';
+      this.logger.error('ownership-malformed', {cause});
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ownership/peer-server.ts
@@ -0,0 +1,117 @@
+/** Links of the other VMs to the assigner. */
+import {createServer} from 'node:net';
+import type {Server, Socket} from 'node:net';
+import {describeError, gatewayMessageSchema} from '@wisteriarun/core';
+import type {GatewayMessage} from '@wisteriarun/core';
+import {Channel, encodeFrame, FrameDecoder} from '@wisteriarun/runtime';
+import type {Logger} from '@wisteriarun/runtime';
+
+/** A link that takes no bytes for this much is cut. */
+const MAX_BACKLOG_BYTES = 4_194_304;
+
+/** A message with the VM that sent it. */
+export interface PeerMessage {
+  readonly message: GatewayMessage;
+  readonly reply: (message: GatewayMessage) => void;
+}
+
+/** Accepts links and sends messages to all of them. */
+export class PeerServer {
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  readonly #messages = new Channel<PeerMessage>();
+
+  /**
+   * @param logger - Receives broken links.
+   */
+  constructor(private readonly logger: Logger) {
+    this.#server = createServer({noDelay: true}, socket =>
+      this.#accept(socket),
+    );
+  }
+
+  /** Messages of the other VMs. */
+  get messages(): Channel<PeerMessage> {
+    return this.#messages;
+  }
+
+  /** Number of linked VMs. */
+  get linkCount(): number {
+    return this.#sockets.size;
+  }
+
+  /**
+   * Starts to accept links.
+   *
+   * @param host - Address to listen on.
+   * @param port - Port to listen on.
+   * @returns Resolves when links are accepted.
+   */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /**
+   * Sends a message to all linked VMs.
+   *
+   * @param message - The message.
+   */
+  broadcast(message: GatewayMessage): void {
+    if (this.#sockets.size === 0) return;
+    const frame = encodeFrame(message);
+    if (frame.isErr) {
+      this.logger.error('frame-refused', {cause: describeError(frame.error)});
+      return;
+    }
+    for (const socket of this.#sockets) {
+      if (socket.writableLength > MAX_BACKLOG_BYTES) socket.destroy();
+      else socket.write(frame.value);
+    }
+  }
+
+  /** Cuts all links; new ones are still accepted. */
+  disconnect(): void {
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  /** Stops to accept links and cuts all of them. */
+  close(): void {
+    this.#server.close();
+    this.disconnect();
+    this.#messages.close();
+  }
+
+  #accept(socket: Socket): void {
+    this.#sockets.add(socket);
+    const decoder = new FrameDecoder();
+    const reply = (message: GatewayMessage) => {
+      encodeFrame(message).match({
+        Ok: frame => {
+          socket.write(frame);
+        },
+        Err: error =>
+          this.logger.error('frame-refused', {cause: describeError(error)}),
+      });
+    };
+    socket.on('data', chunk => {
+      for (const frame of decoder.decode(chunk)) {
+        const message = frame.isOk
+          ? gatewayMessageSchema.safeParse(frame.value)
+          : null;
+        if (message === null || !message.success) {
+          this.logger.warn('peer-malformed', {peer: socket.remoteAddress});
+          socket.destroy();
+          return;
+        }
+        this.#messages.emit({message: message.data, reply});
+      }
+    });
+    socket.on('error', error =>
+      this.logger.debug('peer-link-error', {cause: error.message}),
+    );
+    socket.on('close', () => this.#sockets.delete(socket));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -0,0 +1,307 @@
+/** Moves key ranges between servers so that no two hold the same keys. */
+import type {
+  GatewayServer,
+  HoldLedger,
+  KeyGranter,
+  KeyRange,
+  RangeOwner,
+} from '@wisteriarun/core';
+import type {Clock, Logger} from '@wisteriarun/runtime';
+import {delay} from '../utils/delay.js';
+import type {ServerReach} from './server-reach.js';
+import type {TablePublisher} from './table-publisher.js';
+
+/** Longest wait for the answer to a grant. */
+const GRANT_TIMEOUT_MS = 400;
+/** Longest wait for the work on released keys to end. */
+const RELEASE_TIMEOUT_MS = 3_000;
+/** Wait for a release after which callers are told that keys are not served. */
+const PATIENCE_MS = 400;
+/** Pause between two tries of a call. */
+const RETRY_MS = 60;
+/** Interval at which a waiting move looks again. */
+const POLL_MS = 50;
+/** Grants without an answer after which another server is chosen. */
+const MAX_GRANT_TRIES = 3;
+/** Fences of one term; a term is an offset, which leaves room for 2^33. */
+const FENCES_PER_TERM = 2 ** 20;
+
+/** Parts that the mover works with. */
+export interface MoverParts {
+  readonly publisher: TablePublisher;
+  readonly granter: KeyGranter;
+  readonly ledger: HoldLedger;
+  readonly reach: ServerReach;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Time of one grant. */
+  readonly holdMs: number;
+  /** Finds a server that may be given keys. */
+  usable(server: string): GatewayServer | null;
+  /** Last known address of a server, also of one that is gone. */
+  addressOf(server: string): string | null;
+  /** Chooses a server for keys without an owner. */
+  place(range: RangeOwner): GatewayServer | null;
+  /** Whether grants may be sent. */
+  mayGrant(): boolean;
+}
+
+/** Runs one flow for each range that changes hands. */
+export class RangeMover {
+  #fenceCount = 0;
+  #flowCount = 0;
+  #isClosed = false;
+
+  /**
+   * @param parts - Parts that the mover works with.
+   */
+  constructor(private readonly parts: MoverParts) {}
+
+  /** Number of ranges that are changing hands. */
+  get flowCount(): number {
+    return this.#flowCount;
+  }
+
+  /**
+   * Issues a fence above all earlier ones.
+   *
+   * @returns The fence.
+   */
+  nextFence(): number {
+    this.#fenceCount += 1;
+    return this.parts.publisher.term * FENCES_PER_TERM + this.#fenceCount;
+  }
+
+  /** Ends all flows. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  /**
+   * Gives keys to another server once their owner has released them or its
+   * grants have lapsed.
+   *
+   * @param range - Range with its present owner.
+   * @param to - Id of the next owner; null to choose one.
+   * @param reason - For the log.
+   */
+  move(range: RangeOwner, to: string | null, reason: string): void {
+    void this.#flow(async () => {
+      const {publisher, clock, logger} = this.parts;
+      const startedAtMs = clock.monotonicMs();
+      const planned: RangeOwner = {
+        ...range,
+        server: to,
+        former: range.server,
+        fence: this.nextFence(),
+        moving: true,
+      };
+      publisher.decide(planned);
+      // The record names both servers, so that a later assigner knows which of
+      // them may hold the keys.
+      if (range.server !== null && !(await publisher.persist())) {
+        publisher.decide({...range, moving: false});
+        return;
+      }
+      const handover = await this.#release(range);
+      const owner = await this.#settle(planned, handover);
+      logger.info('range-moved', {
+        service: range.service,
+        from_key: range.fromKey,
+        to_key: range.toKey,
+        from: range.server,
+        to: owner,
+        reason,
+        handover: handover !== null,
+        took_ms: Math.round(clock.monotonicMs() - startedAtMs),
+      });
+    });
+  }
+
+  /**
+   * Grants keys that no other server holds, for example after a restart of
+   * their owner.
+   *
+   * @param range - Range with its owner, which holds nothing of it.
+   */
+  establish(range: RangeOwner): void {
+    const moving = {...range, moving: true};
+    this.parts.publisher.decide(moving);
+    void this.#flow(async () => {
+      await this.#settle(moving, null);
+    });
+  }
+
+  /**
+   * Sends one grant and records what may follow from it.
+   *
+   * @param owner - Range with its owner.
+   * @param server - The owner.
+   * @param handover - Token of the former owner; null without one.
+   * @returns Whether the server holds the keys, was fenced off, or did not
+   * answer.
+   */
+  async grant(
+    owner: RangeOwner,
+    server: GatewayServer,
+    handover: string | null,
+  ): Promise<'granted' | 'fenced' | 'failed'> {
+    const {granter, ledger, reach, clock, holdMs} = this.parts;
+    const grant = {
+      fromKey: owner.fromKey,
+      toKey: owner.toKey,
+      fence: owner.fence,
+      holdMs,
+      handover,
+    };
+    const hold = {...owner, server: server.id, bornMs: server.bornMs};
+    const answer = await granter.grant(server.address, grant, GRANT_TIMEOUT_MS);
+    const nowMs = clock.monotonicMs();
+    if (answer.isErr) {
+      reach.failed(server.id, nowMs);
+      if (answer.error.kind !== 'call-not-sent') {
+        ledger.extend(hold, holdMs, nowMs, true);
+      }
+      return 'failed';
+    }
+    reach.answered(server.id);
+    if (answer.value !== 'granted') return 'fenced';
+    ledger.extend(hold, holdMs, nowMs, false);
+    return 'granted';
+  }
+
+  async #flow(run: () => Promise<void>): Promise<void> {
+    this.#flowCount += 1;
+    try {
+      await run();
+    } finally {
+      this.#flowCount -= 1;
+    }
+  }
+
+  /** Ends when the owner has released the keys or can hold them no longer. */
+  async #release(range: RangeOwner): Promise<string | null> {
+    const {server} = range;
+    const {granter, ledger, publisher, clock} = this.parts;
+    const address = server === null ? null : this.parts.addressOf(server);
+    if (server === null || address === null) return null;
+    const startedAtMs = clock.monotonicMs();
+    let token: string | null = null;
+    let isReleased = false;
+    let isCalling = false;
+    const call = async () => {
+      isCalling = true;
+      const answer = await granter.release(address, range, RELEASE_TIMEOUT_MS);
+      if (answer.isOk) {
+        token = answer.value;
+        isReleased = true;
+        ledger.release(range.service, server, range);
+      } else {
+        await delay(RETRY_MS);
+      }
+      isCalling = false;
+    };
+    let isShown = true;
+    let pending: Promise<void> = Promise.resolve();
+    while (!this.#isClosed && !isReleased) {
+      const nowMs = clock.monotonicMs();
+      if (ledger.freeAtMs(range.service, range, null) <= nowMs) break;
+      if (!isCalling) pending = call();
+      if (isShown && nowMs - startedAtMs > PATIENCE_MS) {
+        isShown = false;
+        publisher.show([{...range, server: null, moving: false}]);
+      }
+      await Promise.race([pending, delay(POLL_MS)]);
+    }
+    return token;
+  }
+
+  /** Ends when a server holds the keys; returns it. */
+  async #settle(
+    range: RangeOwner,
+    handover: string | null,
+  ): Promise<string | null> {
+    const {publisher, ledger, clock} = this.parts;
+    let isPersisted = range.server !== null && range.former !== null;
+    let wanted = range.server;
+    while (!this.#isClosed) {
+      const target = this.#target(range, wanted);
+      wanted = null;
+      const nowMs = clock.monotonicMs();
+      const freeAtMs =
+        target === null
+          ? nowMs + POLL_MS
+          : ledger.freeAtMs(range.service, range, target.id);
+      if (target === null || freeAtMs > nowMs) {
+        if (freeAtMs > nowMs + PATIENCE_MS) {
+          publisher.show([{...range, server: null, moving: false}]);
+        }
+        wanted = target?.id ?? null;
+        await delay(Math.min(POLL_MS, Math.max(1, freeAtMs - nowMs)));
+        continue;
+      }
+      const owner: RangeOwner = {
+        ...range,
+        server: target.id,
+        bornMs: target.bornMs,
+        fence: this.nextFence(),
+        moving: true,
+      };
+      isPersisted &&= owner.server === range.server;
+      publisher.decide(owner);
+      isPersisted = isPersisted || (await publisher.persist());
+      if (!isPersisted) {
+        await delay(POLL_MS);
+        continue;
+      }
+      if (await this.#tryGrant(owner, target, handover)) return target.id;
+      isPersisted = false;
+    }
+    return null;
+  }
+
+  #target(range: RangeOwner, wanted: string | null): GatewayServer | null {
+    const {usable, place, reach, clock} = this.parts;
+    const server = wanted === null ? null : usable(wanted);
+    if (server !== null && !reach.isLost(server.id, clock.monotonicMs())) {
+      return server;
+    }
+    return place(range);
+  }
+
+  async #tryGrant(
+    owner: RangeOwner,
+    server: GatewayServer,
+    handover: string | null,
+  ): Promise<boolean> {
+    const {publisher, ledger, mayGrant} = this.parts;
+    for (let tries = 0; tries < MAX_GRANT_TRIES; tries += 1) {
+      if (this.#isClosed) return false;
+      if (!mayGrant()) {
+        await delay(POLL_MS);
+        continue;
+      }
+      const outcome = await this.grant(owner, server, handover);
+      if (this.#isClosed) return false;
+      if (outcome === 'granted') {
+        ledger.fenced(owner.service, server.id, owner);
+        publisher.decide({...owner, former: null, moving: false});
+        return true;
+      }
+      if (outcome === 'fenced') return false;
+      await delay(RETRY_MS);
+    }
+    return false;
+  }
+}
+
+/**
+ * Cuts a range to some of its keys.
+ *
+ * @param range - Range with its owner.
+ * @param keys - Keys to keep.
+ * @returns The range cut to those keys.
+ */
+export function cutRange(range: RangeOwner, keys: KeyRange): RangeOwner {
+  return {...range, fromKey: keys.fromKey, toKey: keys.toKey};
+}
--- /dev/null
+++ b/packages/gateway/src/ownership/renewals.ts
@@ -0,0 +1,98 @@
+/** Renews the grants of all servers before they lapse. */
+import type {GatewayServer, RangeOwner} from '@wisteriarun/core';
+import type {Clock, Logger} from '@wisteriarun/runtime';
+import type {RangeMover} from './range-mover.js';
+
+/** A grant is renewed this many times in its length. */
+const RENEWALS_PER_HOLD = 4;
+/** Time after which a failed renewal is tried again. */
+const RETRY_MS = 150;
+
+interface Renewal {
+  nextAtMs: number;
+  isRunning: boolean;
+}
+
+/** Keeps a schedule for each server. */
+export class Renewals {
+  readonly #servers = new Map<string, Renewal>();
+  readonly #intervalMs: number;
+
+  /**
+   * @param mover - Sends the grants.
+   * @param clock - Clock of the process.
+   * @param logger - Receives refused renewals.
+   * @param holdMs - Time of one grant.
+   */
+  constructor(
+    private readonly mover: RangeMover,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    holdMs: number,
+  ) {
+    this.#intervalMs = holdMs / RENEWALS_PER_HOLD;
+  }
+
+  /**
+   * Renews the grants of a server when it is time.
+   *
+   * @param server - The server.
+   * @param ranges - Ranges that it holds.
+   * @param onFenced - Called for a range that another assigner has granted.
+   */
+  renew(
+    server: GatewayServer,
+    ranges: readonly RangeOwner[],
+    onFenced: (range: RangeOwner) => void,
+  ): void {
+    const nowMs = this.clock.monotonicMs();
+    let renewal = this.#servers.get(server.id);
+    if (renewal === undefined) {
+      // Spread over the interval, so that servers are not called in step.
+      const nextAtMs = nowMs + Math.random() * this.#intervalMs;
+      renewal = {nextAtMs, isRunning: false};
+      this.#servers.set(server.id, renewal);
+    }
+    if (renewal.isRunning || nowMs < renewal.nextAtMs) return;
+    void this.#run(renewal, server, ranges, onFenced);
+  }
+
+  /**
+   * Makes the renewal of a server due now.
+   *
+   * @param server - Id of the server.
+   */
+  hurry(server: string): void {
+    this.#servers.set(server, {nextAtMs: 0, isRunning: false});
+  }
+
+  async #run(
+    renewal: Renewal,
+    server: GatewayServer,
+    ranges: readonly RangeOwner[],
+    onFenced: (range: RangeOwner) => void,
+  ): Promise<void> {
+    renewal.isRunning = true;
+    const startedAtMs = this.clock.monotonicMs();
+    const outcomes = await Promise.all(
+      ranges.map(async range => {
+        const outcome = await this.mover.grant(range, server, null);
+        if (outcome === 'fenced') {
+          this.logger.warn('renewal-fenced', {
+            server: server.id,
+            from_key: range.fromKey,
+            to_key: range.toKey,
+            fence: range.fence,
+          });
+          onFenced(range);
+        }
+        return outcome;
+      }),
+    );
+    const isWhole = !outcomes.includes('failed');
+    renewal.nextAtMs = isWhole
+      ? startedAtMs + this.#intervalMs
+      : this.clock.monotonicMs() + RETRY_MS;
+    renewal.isRunning = false;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ownership/server-reach.ts
@@ -0,0 +1,55 @@
+/** Which servers answer the assigner. */
+
+/** Time without an answer after which a server's grants are left to lapse. */
+const GIVE_UP_MS = 700;
+/** Time for which a server that did not answer gets no more keys. */
+const AVOID_MS = 2_000;
+
+interface Reach {
+  failingSinceMs: number | null;
+  avoidUntilMs: number;
+}
+
+/** Counts answered and unanswered calls to servers. */
+export class ServerReach {
+  readonly #servers = new Map<string, Reach>();
+
+  /**
+   * Records an answer.
+   *
+   * @param server - Id of the server.
+   */
+  answered(server: string): void {
+    this.#servers.delete(server);
+  }
+
+  /**
+   * Records a call without an answer.
+   *
+   * @param server - Id of the server.
+   * @param nowMs - Monotonic time.
+   */
+  failed(server: string, nowMs: number): void {
+    const reach = this.#servers.get(server);
+    if (reach === undefined) {
+      this.#servers.set(server, {failingSinceMs: nowMs, avoidUntilMs: 0});
+      return;
+    }
+    reach.failingSinceMs ??= nowMs;
+    if (nowMs - reach.failingSinceMs >= GIVE_UP_MS) {
+      reach.avoidUntilMs = nowMs + AVOID_MS;
+    }
+  }
+
+  /**
+   * Tells whether a server's keys should go to others.
+   *
+   * @param server - Id of the server.
+   * @param nowMs - Monotonic time.
+   * @returns True after calls without an answer for some time.
+   */
+  isLost(server: string, nowMs: number): boolean {
+    const reach = this.#servers.get(server);
+    return reach !== undefined && reach.avoidUntilMs > nowMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,206 @@
+/** Settings of the gateway. */
+import {readFileSync} from 'node:fs';
+import {ERRORS} from '@wisteriarun/core';
+import type {WisteriarunError} from '@wisteriarun/core';
+import {nearestName} from '@wisteriarun/runtime';
+import {parse} from 'ini';
+import {Result} from 'true-myth';
+import {z} from 'zod';
+
+const MS_PER_S = 1_000;
+
+const name = z
+  .string()
+  .regex(/^[\w.-]{1,64}$/)
+  .describe('1 to 64 letters, digits, dots, hyphens and underscores');
+const host = z
+  .string()
+  .regex(/^[\d.]{7,15}$/)
+  .describe('an IPv4 address');
+const address = z
+  .string()
+  .regex(/^[\d.]{7,15}:\d{1,5}$/)
+  .describe('an IPv4 address with a port, as 10.0.0.1:8080');
+const port = z
+  .string()
+  .regex(/^\d{1,5}$/)
+  .transform(Number)
+  .describe('a port');
+const number = z
+  .string()
+  .regex(/^\d+(\.\d+)?$/)
+  .transform(Number)
+  .describe('a number');
+const durationMs = z
+  .string()
+  .regex(/^\d+(\.\d+)?(ms|s)$/)
+  .transform(text =>
+    text.endsWith('ms')
+      ? Number(text.slice(0, -2))
+      : Number(text.slice(0, -1)) * MS_PER_S,
+  )
+  .describe('a duration, as 1500ms or 2.5s');
+
+/** An empty value counts as missing. */
+const orDefault = <T extends z.ZodType>(schema: T, value: z.output<T>) =>
+  z
+    .union([z.literal('').transform(() => value), schema])
+    .optional()
+    .transform(given => (given === undefined ? value : given) as z.output<T>)
+    .describe(`${schema.description ?? ''}; ${String(value)} by default`);
+
+const level = z
+  .enum(['debug', 'info', 'warn', 'error'])
+  .describe('one of debug, info, warn, error');
+
+/** Sections and keys of the settings file. */
+const settingsSchema = z.object({
+  vm: z.object({id: name, zone: name, host}),
+  listen: z.object({
+    callers: address,
+    readiness: address,
+    peer_port: port,
+    metrics_port: port,
+  }),
+  store: z.object({address}),
+  bounds: z.object({
+    // Interval at which servers describe themselves.
+    heartbeat: orDefault(durationMs, 1_000),
+    // Time after which a leaving server gets no more requests.
+    drain: orDefault(durationMs, 2_000),
+    // Time from the stop signal to the end of the process.
+    grace: orDefault(durationMs, 6_000),
+    // Time within which a bundle is in force everywhere.
+    config: orDefault(durationMs, 2_000),
+    // Longest grant that servers accept.
+    hold_max: orDefault(durationMs, 10_000),
+    // Repeated requests of all VMs in 10 s, as a share of the first ones.
+    retry_ratio: orDefault(number, 0.2),
+    // Repeated requests of all VMs in 10 s besides that share.
+    retry_slack: orDefault(number, 20),
+  }),
+  logs: z.object({level: orDefault(level, 'info')}),
+});
+
+type Sections = z.output<typeof settingsSchema>;
+
+/** Checked settings. */
+export interface GatewaySettings {
+  readonly vm: Sections['vm'];
+  readonly callersAddress: string;
+  readonly readinessAddress: string;
+  readonly peerPort: number;
+  readonly metricsPort: number;
+  readonly storeAddress: string;
+  readonly heartbeatMs: number;
+  readonly drainMs: number;
+  readonly graceMs: number;
+  readonly configMs: number;
+  readonly holdMaxMs: number;
+  readonly retryRatio: number;
+  readonly retrySlack: number;
+  readonly logLevel: Sections['logs']['level'];
+}
+
+/**
+ * Reads and checks the settings file.
+ *
+ * @param path - Path of an INI file.
+ * @returns The settings, or every problem found.
+ */
+export function loadGatewaySettings(
+  path: string,
+): Result<GatewaySettings, WisteriarunError[]> {
+  try {
+    return parseGatewaySettings(readFileSync(path, 'utf8'));
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : 'unknown cause';
+    return Result.err([ERRORS.unreadableFile(path, detail)]);
+  }
+}
+
+/**
+ * Checks the text of a settings file.
+ *
+ * @param text - INI text.
+ * @returns The settings, or one `invalid-setting` for each problem.
+ */
+export function parseGatewaySettings(
+  text: string,
+): Result<GatewaySettings, WisteriarunError[]> {
+  const given = parse(text) as Record<string, Record<string, unknown>>;
+  const problems = [...unknownNames(given)];
+  const sections = {
+    ...given,
+    logs: given['logs'] ?? {},
+    bounds: given['bounds'] ?? {},
+  };
+  const parsed = settingsSchema.safeParse(sections);
+  if (!parsed.success) {
+    for (const issue of parsed.error.issues) {
+      problems.push(describeIssue(issue, given));
+    }
+  }
+  if (!parsed.success || problems.length > 0) return Result.err(problems);
+  const {vm, listen, store, bounds, logs} = parsed.data;
+  return Result.ok({
+    vm,
+    callersAddress: listen.callers,
+    readinessAddress: listen.readiness,
+    peerPort: listen.peer_port,
+    metricsPort: listen.metrics_port,
+    storeAddress: store.address,
+    heartbeatMs: bounds.heartbeat,
+    drainMs: bounds.drain,
+    graceMs: bounds.grace,
+    configMs: bounds.config,
+    holdMaxMs: bounds.hold_max,
+    retryRatio: bounds.retry_ratio,
+    retrySlack: bounds.retry_slack,
+    logLevel: logs.level,
+  });
+}
+
+function* unknownNames(
+  given: Record<string, Record<string, unknown>>,
+): Generator<WisteriarunError> {
+  const shapes: Record<string, z.ZodObject> = settingsSchema.shape;
+  for (const [section, content] of Object.entries(given)) {
+    const shape = shapes[section];
+    if (shape === undefined) {
+      const allowed = suggest(section, Object.keys(shapes));
+      yield ERRORS.invalidSetting(section, '', 'unknown section', allowed);
+      continue;
+    }
+    const known = Object.keys(shape.shape);
+    for (const key of Object.keys(content)) {
+      if (known.includes(key)) continue;
+      const allowed = suggest(key, known);
+      yield ERRORS.invalidSetting(section, key, 'unknown key', allowed);
+    }
+  }
+}
+
+function suggest(text: string, known: readonly string[]): string {
+  const nearest = nearestName(text, known);
+  const list = known.join(', ');
+  return nearest === null
+    ? `one of ${list}`
+    : `did you mean ${nearest}? Known: ${list}`;
+}
+
+function describeIssue(
+  issue: z.core.$ZodIssue,
+  given: Record<string, Record<string, unknown>>,
+): WisteriarunError {
+  const [section = '', key = ''] = issue.path.map(String);
+  const shapes: Record<string, z.ZodObject> = settingsSchema.shape;
+  const schema = shapes[section]?.shape[key] as z.ZodType | undefined;
+  const found = given[section]?.[key];
+  return ERRORS.invalidSetting(
+    section,
+    key,
+    found === undefined ? '(missing)' : String(found),
+    schema?.description ?? 'a section with its keys',
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/store/log-follower.ts
@@ -0,0 +1,138 @@
+/** Follows a log of the platform from its newest records on. */
+import type {KeyedLog, KeyedRecord, LogName} from '@wisteriarun/core';
+import {Channel} from '@wisteriarun/runtime';
+import type {Clock, Logger} from '@wisteriarun/runtime';
+import type {Stream} from 'most';
+import {delay} from '../utils/delay.js';
+
+/** First wait after a failed call; doubled up to the longest one. */
+const FIRST_BACKOFF_MS = 50;
+const LONGEST_BACKOFF_MS = 400;
+
+/** How a log is read. */
+export interface FollowRhythm {
+  /** Longest wait of one read for a record; 0 when records always come. */
+  readonly waitMs: number;
+  /** Pause between two reads. */
+  pauseMs(): number;
+}
+
+/** What a read brought. */
+export type FollowEvent =
+  | {readonly kind: 'image'; readonly records: readonly KeyedRecord[]}
+  | {readonly kind: 'records'; readonly records: readonly KeyedRecord[]}
+  | {readonly kind: 'lost'}
+  | {readonly kind: 'regained'};
+
+/** Reads one log until it is closed. */
+export class LogFollower {
+  readonly #channel = new Channel<FollowEvent>();
+  #offset: number | null = null;
+  #closed = false;
+  #isLost = false;
+  #contactAtMs: number | null = null;
+  #failedAtMs: number | null = null;
+
+  /**
+   * @param log - The platform's log.
+   * @param name - Which log to follow.
+   * @param rhythm - How often it is read.
+   * @param clock - Clock of the process.
+   * @param logger - Receives lost and regained contact.
+   */
+  constructor(
+    private readonly log: KeyedLog,
+    private readonly name: LogName,
+    private readonly rhythm: FollowRhythm,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** What the reads bring; starts with an image. */
+  get events(): Stream<FollowEvent> {
+    return this.#channel.stream;
+  }
+
+  /** Monotonic time of the last answer; null before the first. */
+  get contactAtMs(): number | null {
+    return this.#contactAtMs;
+  }
+
+  /** Monotonic time of the last failure; null before the first. */
+  get failedAtMs(): number | null {
+    return this.#failedAtMs;
+  }
+
+  /** Starts to read. */
+  start(): void {
+    void this.#run();
+  }
+
+  /** Stops after the read in progress. */
+  close(): void {
+    this.#closed = true;
+  }
+
+  async #run(): Promise<void> {
+    let backoffMs = FIRST_BACKOFF_MS;
+    while (!this.#closed) {
+      const isOk = await this.#step();
+      if (isOk) {
+        backoffMs = FIRST_BACKOFF_MS;
+        await delay(this.rhythm.pauseMs());
+      } else {
+        await delay(backoffMs * (0.5 + Math.random() / 2));
+        backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
+      }
+    }
+    this.#channel.close();
+  }
+
+  async #step(): Promise<boolean> {
+    if (this.#offset === null) {
+      const image = await this.log.newest(this.name);
+      if (image.isErr) return this.#lost(image.error.kind);
+      this.#offset = image.value.endOffset;
+      this.#regained();
+      this.#channel.emit({kind: 'image', records: image.value.records});
+      return true;
+    }
+    const batch = await this.log.read(
+      this.name,
+      this.#offset,
+      this.rhythm.waitMs,
+    );
+    if (batch.isErr) {
+      if (batch.error.kind !== 'log-expired') {
+        return this.#lost(batch.error.kind);
+      }
+      this.logger.info('log-expired', {log: this.name, offset: this.#offset});
+      this.#offset = null;
+      return true;
+    }
+    this.#regained();
+    this.#offset = batch.value.nextOffset;
+    if (batch.value.records.length > 0) {
+      this.#channel.emit({kind: 'records', records: batch.value.records});
+    }
+    return true;
+  }
+
+  #lost(cause: string): false {
+    this.#failedAtMs = this.clock.monotonicMs();
+    if (!this.#isLost) {
+      this.#isLost = true;
+      this.logger.warn('log-lost', {log: this.name, cause});
+      this.#channel.emit({kind: 'lost'});
+    }
+    return false;
+  }
+
+  #regained(): void {
+    this.#contactAtMs = this.clock.monotonicMs();
+    if (!this.#isLost) return;
+    this.#isLost = false;
+    this.logger.info('log-regained', {log: this.name});
+    this.#channel.emit({kind: 'regained'});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/store/server-directory.ts
@@ -0,0 +1,140 @@
+/** The servers in the platform's log, as this VM knows them. */
+import {ServerRegistry} from '@wisteriarun/core';
+import type {GatewayCodec, GatewayServer, KeyedRecord} from '@wisteriarun/core';
+import {Channel} from '@wisteriarun/runtime';
+import type {Clock, Logger} from '@wisteriarun/runtime';
+import type {FollowEvent, LogFollower} from './log-follower.js';
+
+/**
+ * Time after a loss of the log within which entries that lapsed meanwhile come
+ * back; until then a removed server stays listed.
+ */
+const RETURN_GRACE_MS = 2_000;
+
+/** Keeps the registry up to date with the log of servers. */
+export class ServerDirectory {
+  readonly #registry = new ServerRegistry();
+  readonly #changes = new Channel<GatewayServer | null>();
+  readonly #removals = new Map<string, NodeJS.Timeout>();
+  #isLoaded = false;
+  #regainedAtMs = -Infinity;
+  #isLost = false;
+
+  /**
+   * @param follower - Follower of the log of servers.
+   * @param codec - Decoder of its records.
+   * @param clock - Clock of the process.
+   * @param logger - Receives malformed records and changes.
+   */
+  constructor(
+    follower: LogFollower,
+    private readonly codec: GatewayCodec,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    void follower.events.observe(event => this.#apply(event));
+  }
+
+  /** Whether the servers have been read once. */
+  get isLoaded(): boolean {
+    return this.#isLoaded;
+  }
+
+  /** Newest descriptions. */
+  get registry(): ServerRegistry {
+    return this.#registry;
+  }
+
+  /** Changed servers; null after removals. */
+  get changes(): Channel<GatewayServer | null> {
+    return this.#changes;
+  }
+
+  /** Stops all timers. */
+  close(): void {
+    for (const timer of this.#removals.values()) clearTimeout(timer);
+    this.#changes.close();
+  }
+
+  #apply(event: FollowEvent): void {
+    switch (event.kind) {
+      case 'image': {
+        const listed = new Set<string>();
+        for (const record of event.records) {
+          if (this.#adopt(record)) listed.add(record.key);
+        }
+        for (const id of this.#registry.servers.keys()) {
+          if (!listed.has(id)) this.#remove(id);
+        }
+        this.#isLoaded = true;
+        this.#changes.emit(null);
+        break;
+      }
+      case 'records':
+        for (const record of event.records) this.#adopt(record);
+        break;
+      case 'lost':
+        this.#isLost = true;
+        break;
+      case 'regained':
+        this.#isLost = false;
+        this.#regainedAtMs = this.clock.monotonicMs();
+        break;
+    }
+  }
+
+  #adopt(record: KeyedRecord): boolean {
+    const {key, value} = record;
+    if (value === null) {
+      this.#remove(key);
+      return false;
+    }
+    const decoded = this.codec.server(key, value);
+    if (decoded.isErr) {
+      const detail = 'detail' in decoded.error ? decoded.error.detail : '';
+      this.logger.debug('server-malformed', {server: key, detail});
+      return this.#registry.find(key) !== null;
+    }
+    this.#keep(key);
+    const server = decoded.value;
+    if (this.#registry.describe(server) !== 'changed') return true;
+    this.logger.info('server-changed', {
+      server: key,
+      service: server.service,
+      address: server.address,
+      draining: server.isDraining,
+      born_ms: server.bornMs,
+    });
+    this.#changes.emit(server);
+    return true;
+  }
+
+  #keep(id: string): void {
+    const timer = this.#removals.get(id);
+    if (timer === undefined) return;
+    clearTimeout(timer);
+    this.#removals.delete(id);
+  }
+
+  #remove(id: string): void {
+    if (this.#registry.find(id) === null || this.#removals.has(id)) return;
+    const leftMs =
+      this.#regainedAtMs + RETURN_GRACE_MS - this.clock.monotonicMs();
+    if (!this.#isLost && leftMs <= 0) {
+      this.#drop(id);
+      return;
+    }
+    const timer = setTimeout(
+      () => this.#drop(id),
+      Math.max(leftMs, this.#isLost ? RETURN_GRACE_MS : 0),
+    );
+    this.#removals.set(id, timer);
+  }
+
+  #drop(id: string): void {
+    this.#removals.delete(id);
+    this.#registry.remove(id);
+    this.logger.info('server-gone', {server: id});
+    this.#changes.emit(null);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/utils/delay.ts
@@ -0,0 +1,11 @@
+/** Waiting. */
+
+/**
+ * Waits.
+ *
+ * @param ms - Milliseconds to wait.
+ * @returns Resolves after that time.
+ */
+export function delay(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
