--- a/packages/core/src/core/range/hold-ledger.ts
+++ b/packages/core/src/core/range/hold-ledger.ts
@@ -1,20 +1,36 @@
 /** Until when servers may hold the keys that they were granted. */
 import type {KeyRange} from '../../types/index.js';
+import {subtractKeys} from '../../utils/index.js';
 
 /** A server's clock may run this much slower than ours. */
 const CLOCK_DRIFT = 1.02;
 /** Delay of a grant on its way, and of timers on both sides. */
 const TRANSIT_MS = 100;
 
-interface Hold extends KeyRange {
+/** Keys granted to one incarnation of a server. */
+export interface HeldKeys extends KeyRange {
   readonly service: string;
   readonly server: string;
   readonly bornMs: number;
+  readonly fence: number;
+}
+
+interface Hold extends HeldKeys {
   readonly untilMs: number;
   /** True for a grant without an answer, which may take effect late. */
   readonly isUncertain: boolean;
 }
 
+/** A grant that was sent and not answered yet. */
+export interface PendingHold {
+  /** The server holds the keys. */
+  granted(nowMs: number): void;
+  /** No answer came; the grant may take effect late. */
+  unanswered(nowMs: number): void;
+  /** The grant did not reach the server, or the server refused it. */
+  refused(): void;
+}
+
 /**
  * Upper bounds of holds. A grant counts from the moment it was sent, whether
  * or not it was answered, since it may take effect late.
@@ -31,12 +47,13 @@
    * @param isUncertain - Whether no answer came.
    */
   extend(
-    grant: KeyRange & {service: string; server: string; bornMs: number},
+    grant: HeldKeys,
     holdMs: number,
     nowMs: number,
     isUncertain: boolean,
   ): void {
-    const {service, server, bornMs, fromKey, toKey} = grant;
+    const {service, server, bornMs, fromKey, toKey, fence} = grant;
+    if (!isUncertain) this.#fence(grant);
     const untilMs = nowMs + holdMs * CLOCK_DRIFT + TRANSIT_MS;
     this.#holds = this.#holds.filter(
       hold =>
@@ -57,11 +74,43 @@
       bornMs,
       fromKey,
       toKey,
+      fence,
       untilMs,
       isUncertain,
     });
   }
 
+  /**
+   * Records that a grant is being sent.
+   *
+   * @param grant - Keys with the incarnation of the server.
+   * @param holdMs - Granted time.
+   * @param nowMs - Monotonic time.
+   * @returns To be told how the grant ended.
+   */
+  send(grant: HeldKeys, holdMs: number, nowMs: number): PendingHold {
+    const sent: Hold = {
+      ...grant,
+      untilMs: nowMs + holdMs * CLOCK_DRIFT + TRANSIT_MS,
+      isUncertain: true,
+    };
+    this.#holds.push(sent);
+    const forget = () => {
+      this.#holds = this.#holds.filter(hold => hold !== sent);
+    };
+    return {
+      granted: endMs => {
+        forget();
+        this.extend(grant, holdMs, endMs, false);
+      },
+      unanswered: endMs => {
+        forget();
+        this.extend(grant, holdMs, endMs, true);
+      },
+      refused: forget,
+    };
+  }
+
   /**
    * Forgets holds of keys that a server has given back. Those of unanswered
    * grants stay: they may take effect after the release.
@@ -73,37 +122,41 @@
   release(service: string, server: string, keys: KeyRange): void {
     this.#holds = this.#holds.flatMap(hold =>
       !hold.isUncertain && hold.service === service && hold.server === server
-        ? subtract(hold, keys)
+        ? subtractKeys(hold, keys)
         : [hold],
     );
   }
 
   /**
-   * Forgets holds of unanswered grants that a server refuses from now on,
-   * because it has accepted a higher fence on the keys.
+   * Forgets all holds of earlier incarnations: a server that starts holds
+   * nothing.
    *
-   * @param service - Name of the service.
    * @param server - Id of the server.
-   * @param keys - Keys that it was granted with the higher fence.
+   * @param bornMs - Start of its present incarnation.
    */
-  fenced(service: string, server: string, keys: KeyRange): void {
-    this.#holds = this.#holds.flatMap(hold =>
-      hold.isUncertain && hold.service === service && hold.server === server
-        ? subtract(hold, keys)
-        : [hold],
+  restarted(server: string, bornMs: number): void {
+    this.#holds = this.#holds.filter(
+      hold => hold.server !== server || hold.bornMs >= bornMs,
     );
   }
 
   /**
-   * Forgets all holds of earlier incarnations: a server that starts holds
-   * nothing.
+   * Tells whether a server may come to hold keys again after it has released
+   * them, through a grant that was not answered.
    *
+   * @param service - Name of the service.
    * @param server - Id of the server.
-   * @param bornMs - Start of its present incarnation.
+   * @param keys - The keys.
+   * @returns Whether such a grant may be under way.
    */
-  restarted(server: string, bornMs: number): void {
-    this.#holds = this.#holds.filter(
-      hold => hold.server !== server || hold.bornMs >= bornMs,
+  isUncertain(service: string, server: string, keys: KeyRange): boolean {
+    return this.#holds.some(
+      hold =>
+        hold.isUncertain &&
+        hold.service === service &&
+        hold.server === server &&
+        hold.toKey >= keys.fromKey &&
+        hold.fromKey <= keys.toKey,
     );
   }
 
@@ -124,12 +177,16 @@
     }
     return untilMs;
   }
-}
 
-function subtract(hold: Hold, cut: KeyRange): Hold[] {
-  if (hold.toKey < cut.fromKey || hold.fromKey > cut.toKey) return [hold];
-  const rest: Hold[] = [];
-  if (hold.fromKey < cut.fromKey) rest.push({...hold, toKey: cut.fromKey - 1});
-  if (hold.toKey > cut.toKey) rest.push({...hold, fromKey: cut.toKey + 1});
-  return rest;
+  /** A server refuses grants with a lower fence than it has accepted. */
+  #fence(grant: HeldKeys): void {
+    this.#holds = this.#holds.flatMap(hold =>
+      hold.isUncertain &&
+      hold.service === grant.service &&
+      hold.server === grant.server &&
+      hold.fence < grant.fence
+        ? subtractKeys(hold, grant)
+        : [hold],
+    );
+  }
 }
--- a/packages/core/src/core/range/range-planner.ts
+++ b/packages/core/src/core/range/range-planner.ts
@@ -1,6 +1,7 @@
 /** Decides which keys should change hands. */
 import {KEY_COUNT} from '../../types/index.js';
 import type {KeyRange, RangeOwner} from '../../types/index.js';
+import {subtractKeys} from '../../utils/index.js';
 import type {KeyLoadMap} from './key-load-map.js';
 
 /** Load over the mean from which keys move away from a server. */
@@ -8,7 +9,7 @@
 /** Utilization below which imbalance delays no request. */
 const IDLE_UTILIZATION = 0.3;
 /** Moves that are planned in one step. */
-const MAX_MOVES_PER_STEP = 6;
+const MAX_MOVES_PER_STEP = 16;
 /** A piece may exceed the wanted load by this share. */
 const PIECE_TOLERANCE = 0.15;
 /** Ranges of a server from which no more are split off to it. */
@@ -133,14 +134,17 @@
       .filter(state => !state.isBusy && utilization(state) > limit)
       .sort((a, b) => utilization(b) - utilization(a));
     for (const state of hot) {
-      if (this.#moves.length >= MAX_MOVES_PER_STEP) break;
-      this.#relieve(state, mean);
+      while (
+        utilization(state) > limit &&
+        this.#moves.length < MAX_MOVES_PER_STEP &&
+        this.#relieve(state, mean)
+      );
     }
     return this.#moves;
   }
 
   /** Moves the piece that brings a server closest to the mean. */
-  #relieve(state: ServerState, mean: number): void {
+  #relieve(state: ServerState, mean: number): boolean {
     const target = [...this.#states.values()]
       .filter(
         other =>
@@ -149,23 +153,23 @@
           other.ranges.length < MAX_RANGES_PER_SERVER,
       )
       .sort((a, b) => utilization(a) - utilization(b))[0];
-    if (target === undefined) return;
+    if (target === undefined) return false;
     const surplus = state.load - mean * state.capacity;
     const room = mean * target.capacity - target.load;
     const wanted = Math.min(surplus, room);
-    if (wanted <= 0) return;
+    if (wanted <= 0) return false;
     const piece = this.#bestPiece(state.ranges, wanted);
-    if (piece === null) return;
+    if (piece === null) return false;
     const moved = this.#load.sum(piece);
-    const before = utilization(state);
     const after = (target.load + moved) / target.capacity;
     // A move must not make the target the next one to be relieved.
-    if (after >= before) return;
+    if (after >= utilization(state)) return false;
     state.load -= moved;
+    state.ranges = state.ranges.flatMap(range => subtractKeys(range, piece));
     target.load += moved;
-    state.isBusy = true;
     target.isBusy = true;
     this.#moves.push({...piece, from: state.id, to: target.id});
+    return true;
   }
 
   /** Finds the narrowest end of a range that carries about a load. */
--- a/packages/core/src/core/range/range-table.ts
+++ b/packages/core/src/core/range/range-table.ts
@@ -1,5 +1,6 @@
 /** Owners of all key ranges. */
 import type {KeyRange, RangeOwner} from '../../types/index.js';
+import {subtractKeys} from '../../utils/index.js';
 
 /** Ranges of each service in ascending order, without overlaps. */
 export class RangeTable {
@@ -70,7 +71,7 @@
    */
   assign(owner: RangeOwner): void {
     const ranges = this.#services.get(owner.service) ?? [];
-    const kept = ranges.flatMap(range => subtract(range, owner));
+    const kept = ranges.flatMap(range => subtractKeys(range, owner));
     const at = kept.findIndex(range => range.fromKey > owner.fromKey);
     kept.splice(at < 0 ? kept.length : at, 0, owner);
     this.#services.set(owner.service, kept);
@@ -96,15 +97,3 @@
     }
   }
 }
-
-function subtract(range: RangeOwner, cut: KeyRange): RangeOwner[] {
-  if (range.toKey < cut.fromKey || range.fromKey > cut.toKey) return [range];
-  const rest: RangeOwner[] = [];
-  if (range.fromKey < cut.fromKey) {
-    rest.push({...range, toKey: cut.fromKey - 1});
-  }
-  if (range.toKey > cut.toKey) {
-    rest.push({...range, fromKey: cut.toKey + 1});
-  }
-  return rest;
-}
--- a/packages/core/src/core/range/server-load-view.ts
+++ b/packages/core/src/core/range/server-load-view.ts
@@ -2,7 +2,7 @@
 import type {ReportedLoad} from '../../types/index.js';
 
 /** Weight of a new sample in the averages. */
-const SAMPLE_WEIGHT = 0.15;
+const SAMPLE_WEIGHT = 0.2;
 /** Time after which a reported load says little about the present one. */
 const REPORT_DECAY_MS = 150;
 /** Time of a request before any was measured. */
@@ -75,7 +75,7 @@
   }
 
   /**
-   * Records an attempt without an answer of the server.
+   * Records that the server could not be reached or fell silent.
    *
    * @param nowMs - Monotonic time.
    */
--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -170,7 +170,12 @@
     loads: z.array(keyLoadSchema),
     paces: z.array(serverPaceSchema),
   }),
-  z.object({kind: z.literal('heartbeat'), term: z.int()}),
+  z.object({
+    kind: z.literal('heartbeat'),
+    term: z.int(),
+    /** True when the assigner cannot append and another VM should. */
+    isLogLost: z.boolean(),
+  }),
   z.object({kind: z.literal('view'), view: ownershipViewSchema}),
   z.object({kind: z.literal('change'), view: ownershipViewSchema}),
 ]);
--- a/packages/core/src/utils/index.ts
+++ b/packages/core/src/utils/index.ts
@@ -1,2 +1,3 @@
 /** Helpers without knowledge of the domain. */
 export * from './hasher.js';
+export * from './key-range.js';
--- /dev/null
+++ b/packages/core/test/range/hold-ledger.test.ts
@@ -0,0 +1,67 @@
+import {describe, expect, it} from 'vitest';
+import {HoldLedger} from '@wisteriarun/core';
+
+const SERVICE = 'records';
+const KEYS = {fromKey: 100, toKey: 199};
+const grant = (server: string, fence: number, keys = KEYS) => ({
+  service: SERVICE,
+  server,
+  bornMs: 1,
+  fence,
+  ...keys,
+});
+
+describe('hold ledger', () => {
+  it('keeps keys for the whole hold of a clock that runs 2% slow', () => {
+    const ledger = new HoldLedger();
+    ledger.extend(grant('a', 1), 4_000, 1_000, false);
+    const freeAtMs = ledger.freeAtMs(SERVICE, KEYS, null);
+    expect(freeAtMs).toBeGreaterThanOrEqual(1_000 + 4_000 * 1.02);
+  });
+
+  it('frees only the released part of a grant', () => {
+    const ledger = new HoldLedger();
+    ledger.extend(grant('a', 1), 4_000, 0, false);
+    ledger.release(SERVICE, 'a', {fromKey: 100, toKey: 149});
+    const part = (fromKey: number, toKey: number) =>
+      ledger.freeAtMs(SERVICE, {fromKey, toKey}, null);
+    expect(part(100, 149)).toBe(0);
+    expect(part(149, 150)).toBeGreaterThan(0);
+  });
+
+  it('guards against an unanswered grant that takes effect after a release', () => {
+    const ledger = new HoldLedger();
+    ledger.extend(grant('a', 1), 4_000, 0, true);
+    ledger.release(SERVICE, 'a', KEYS);
+    expect(ledger.isUncertain(SERVICE, 'a', KEYS)).toBe(true);
+    expect(ledger.freeAtMs(SERVICE, KEYS, 'b')).toBeGreaterThan(4_000);
+  });
+
+  it('forgets unanswered grants below a fence that the server accepted', () => {
+    const ledger = new HoldLedger();
+    ledger.extend(grant('a', 1), 20_000, 0, true);
+    ledger.extend(grant('a', 2), 500, 100, false);
+    ledger.release(SERVICE, 'a', KEYS);
+    expect(ledger.freeAtMs(SERVICE, KEYS, 'b')).toBe(0);
+  });
+
+  it('does not let an accepted fence end grants of the same fence', () => {
+    const ledger = new HoldLedger();
+    ledger.extend(grant('a', 2), 20_000, 0, true);
+    ledger.extend(grant('a', 2), 500, 100, false);
+    expect(ledger.freeAtMs(SERVICE, KEYS, 'b')).toBeGreaterThan(20_000);
+  });
+
+  it('forgets holds of an incarnation that has ended', () => {
+    const ledger = new HoldLedger();
+    ledger.extend(grant('a', 1), 4_000, 0, false);
+    ledger.restarted('a', 2);
+    expect(ledger.freeAtMs(SERVICE, KEYS, null)).toBe(0);
+  });
+
+  it('does not count the next owner among the others', () => {
+    const ledger = new HoldLedger();
+    ledger.extend(grant('a', 1), 4_000, 0, false);
+    expect(ledger.freeAtMs(SERVICE, KEYS, 'a')).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/core/test/range/range-planner.test.ts
@@ -0,0 +1,194 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  initialRanges,
+  KEY_COUNT,
+  KeyLoadMap,
+  RangePlanner,
+  RangeTable,
+} from '@wisteriarun/core';
+import type {PlannedServer, RangeOwner} from '@wisteriarun/core';
+
+const SERVICE = 'records';
+const CAPACITY = 3_000;
+
+const servers = (count: number, capacity = CAPACITY): PlannedServer[] =>
+  Array.from({length: count}, (_, index) => ({id: `s${index}`, capacity}));
+
+function owner(server: string | null, fromKey: number, toKey: number) {
+  const range: RangeOwner = {
+    service: SERVICE,
+    fromKey,
+    toKey,
+    server,
+    former: null,
+    bornMs: 1,
+    fence: 1,
+    moving: false,
+  };
+  return range;
+}
+
+function evenTable(count: number): RangeTable {
+  const moves = initialRanges(servers(count));
+  return new RangeTable(
+    moves.map(({to, fromKey, toKey}) => owner(to, fromKey, toKey)),
+  );
+}
+
+/** Load in ms/s: `hot` on each of some neighbouring keys, little elsewhere. */
+function loadMap(hotFrom: number, hotCount: number, hot: number): KeyLoadMap {
+  const load = new KeyLoadMap(1_000 * Math.LN2);
+  for (let key = 0; key < KEY_COUNT; key += 16) load.add(key, 2);
+  for (let index = 0; index < hotCount; index += 1) {
+    load.add(hotFrom + index, hot);
+  }
+  return load;
+}
+
+function busiest(
+  table: RangeTable,
+  load: KeyLoadMap,
+  members: readonly PlannedServer[],
+): number {
+  const utilizations = members.map(({id, capacity}) => {
+    const ranges = table.ofServer(id);
+    return ranges.reduce((sum, range) => sum + load.sum(range), 0) / capacity;
+  });
+  return Math.max(...utilizations);
+}
+
+function applyMoves(table: RangeTable, planner: RangePlanner): number {
+  const moves = planner.rebalance();
+  for (const {to, fromKey, toKey} of moves) {
+    table.assign(owner(to, fromKey, toKey));
+  }
+  return moves.length;
+}
+
+describe('initial ranges', () => {
+  it('cover every key once, for any number of servers', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.double({min: 0.1, max: 9, noNaN: true}), {
+          minLength: 1,
+          maxLength: 300,
+        }),
+        capacities => {
+          const members = capacities.map((capacity, index) => ({
+            id: `s${index}`,
+            capacity,
+          }));
+          let next = 0;
+          for (const {fromKey, toKey} of initialRanges(members)) {
+            expect(fromKey).toBe(next);
+            expect(toKey).toBeGreaterThanOrEqual(fromKey);
+            next = toKey + 1;
+          }
+          expect(next).toBe(KEY_COUNT);
+        },
+      ),
+    );
+  });
+});
+
+describe('rebalancing', () => {
+  it('spreads neighbouring hot keys over all servers in a few steps', () => {
+    const members = servers(33);
+    const table = evenTable(33);
+    const load = loadMap(30_000, 200, 100);
+    const before = busiest(table, load, members);
+    for (let step = 0; step < 6; step += 1) {
+      applyMoves(
+        table,
+        new RangePlanner(load, members, table.ofService(SERVICE)),
+      );
+    }
+    expect(before).toBeGreaterThan(5);
+    expect(busiest(table, load, members)).toBeLessThan(1.2);
+  });
+
+  it('leaves a balanced table alone', () => {
+    const table = evenTable(8);
+    const load = loadMap(0, 0, 0);
+    const planner = new RangePlanner(
+      load,
+      servers(8),
+      table.ofService(SERVICE),
+    );
+    expect(planner.rebalance()).toEqual([]);
+  });
+
+  it('does not pass a single hot key on from server to server', () => {
+    const members = servers(4);
+    const table = evenTable(4);
+    const load = loadMap(10, 1, 5_000);
+    let moves = 0;
+    for (let step = 0; step < 10; step += 1) {
+      moves = applyMoves(
+        table,
+        new RangePlanner(load, members, table.ofService(SERVICE)),
+      );
+    }
+    expect(moves).toBe(0);
+    expect(table.find(SERVICE, 10)?.server).toBe('s0');
+  });
+
+  it('plans moves that do not overlap and name the present owner', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 2, max: 40}),
+        fc.integer({min: 0, max: KEY_COUNT - 300}),
+        fc.integer({min: 1, max: 250}),
+        fc.integer({min: 1, max: 400}),
+        (count, hotFrom, hotCount, hot) => {
+          const table = evenTable(count);
+          const planner = new RangePlanner(
+            loadMap(hotFrom, hotCount, hot),
+            servers(count),
+            table.ofService(SERVICE),
+          );
+          const moves = planner
+            .rebalance()
+            .sort((a, b) => a.fromKey - b.fromKey);
+          let end = -1;
+          for (const move of moves) {
+            expect(move.fromKey).toBeGreaterThan(end);
+            expect(move.to).not.toBe(move.from);
+            end = move.toKey;
+            for (const key of [move.fromKey, move.toKey]) {
+              expect(table.find(SERVICE, key)?.server).toBe(move.from);
+            }
+          }
+        },
+      ),
+      {numRuns: 30},
+    );
+  });
+});
+
+describe('placing keys of a server that leaves', () => {
+  it('covers its ranges with servers that stay', () => {
+    const table = evenTable(5);
+    const leaving = table.ofServer('s2');
+    const staying = servers(5).filter(({id}) => id !== 's2');
+    const planner = new RangePlanner(
+      loadMap(0, 0, 0),
+      staying,
+      table.ofService(SERVICE),
+    );
+    const moves = planner.place(leaving);
+    const covered = moves.reduce(
+      (sum, {fromKey, toKey}) => sum + toKey - fromKey + 1,
+      0,
+    );
+    expect(covered).toBe(leaving[0]!.toKey - leaving[0]!.fromKey + 1);
+    expect(moves.map(({to}) => to)).not.toContain('s2');
+    expect(new Set(moves.map(({to}) => to)).size).toBeGreaterThan(1);
+  });
+
+  it('places nothing while no server is left', () => {
+    const planner = new RangePlanner(loadMap(0, 0, 0), [], []);
+    expect(planner.place([owner('s0', 0, 10)])).toEqual([]);
+  });
+});
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -1,7 +1,10 @@
 /** One attempt to have a server answer a request. */
+import type {Socket} from 'node:net';
 import type {Readable} from 'node:stream';
 import type {GatewayHeaders, ReportedLoad} from '@wisteriarun/core';
 import type {Dispatcher} from 'undici';
+import {expectSocket} from './attempt-socket.js';
+import type {SocketUser} from './attempt-socket.js';
 
 /** Answers up to this size are checked whole before the caller sees any. */
 const BUFFERED_BYTES = 262_144;
@@ -69,11 +72,12 @@
 class AttemptAborted extends Error {}
 
 /** Runs one attempt; the outcome is settled once. */
-export class Attempt implements Dispatcher.DispatchHandler {
+export class Attempt implements Dispatcher.DispatchHandler, SocketUser {
   readonly outcome: Promise<AttemptOutcome>;
   #settle!: (outcome: AttemptOutcome) => void;
   #isSettled = false;
   #controller: Dispatcher.DispatchController | null = null;
+  #socket: Socket | null = null;
   #isCancelled = false;
   #status = 0;
   #headers: AnswerHeaders = {};
@@ -130,15 +134,23 @@
     }
     const controller = this.#controller;
     this.#fail(cause);
+    // A reset drops bytes that the network holds up, so that they cannot reach
+    // the server after the caller has gone.
+    this.#socket?.resetAndDestroy();
     controller.abort(new AttemptAborted(cause));
   }
 
+  useSocket(socket: Socket): void {
+    this.#socket = socket;
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.#isCancelled) {
       controller.abort(new AttemptAborted('cancelled before it was sent'));
       return;
     }
     this.#controller = controller;
+    expectSocket(this);
   }
 
   onResponseStart(
@@ -182,6 +194,11 @@
 
   onResponseEnd(): void {
     if (this.#isSettled) return;
+    // undici takes a reset for the end of an answer without a length.
+    if (this.#socket !== null && this.#socket.errored !== null) {
+      this.#fail('connection-lost');
+      return;
+    }
     const load = this.#load();
     if (this.#isStreaming) {
       this.sink.end();
--- a/packages/gateway/src/entry/exchange.ts
+++ b/packages/gateway/src/entry/exchange.ts
@@ -4,9 +4,10 @@
 import type {Readable} from 'node:stream';
 import {singleHeader} from '@wisteriarun/core';
 import type {GatewayHeaders, GatewayRoute} from '@wisteriarun/core';
-import type {Clock, Logger} from '@wisteriarun/runtime';
+import type {Clock} from '@wisteriarun/runtime';
 import type {AnswerHeaders, AnswerSink, AttemptOutcome} from './attempt.js';
 import type {CallerBody} from './caller-body.js';
+import type {RequestLog} from './request-log.js';
 import type {RequestMeter} from './request-meter.js';
 
 const MS_PER_S = 1_000;
@@ -26,7 +27,7 @@
 export interface ExchangeParts {
   readonly startedAtMs: number;
   readonly clock: Clock;
-  readonly logger: Logger;
+  readonly log: RequestLog;
   readonly meter: RequestMeter;
 }
 
@@ -121,10 +122,10 @@
     if (this.#isGone) return this.abandon('caller-gone');
     const {response} = this;
     const headers = passedHeaders(answer.headers);
-    headers['content-length'] =
-      this.request.method === 'HEAD'
-        ? answer.headers['content-length']
-        : answer.body.length;
+    if (isUnframed(answer.headers)) this.#unframe();
+    else if (this.request.method !== 'HEAD') {
+      headers['content-length'] = answer.body.length;
+    } else headers['content-length'] = answer.headers['content-length'];
     writeHead(response, answer.status, headers);
     response.end(answer.body);
     this.#log('answered', answer.status, null);
@@ -192,6 +193,7 @@
     const passed = passedHeaders(headers);
     const length = headers['content-length'];
     if (length !== undefined) passed['content-length'] = length;
+    if (isUnframed(headers)) this.#unframe();
     writeHead(this.response, status, passed);
   }
 
@@ -209,6 +211,15 @@
     this.response.destroy();
   }
 
+  /**
+   * Whether an answer without a length is whole cannot be told; the end of the
+   * connection leaves it open for the caller too.
+   */
+  #unframe(): void {
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
+  }
+
   #own(status: number, cause: string, headers: Record<string, string>): void {
     if (this.#isGone) return this.abandon('caller-gone');
     const text = `${STATUS_CODES[status] ?? ''}: ${cause}\n`;
@@ -224,11 +235,11 @@
   }
 
   #log(outcome: string, status: number, cause: string | null): void {
-    const {clock, logger, meter} = this.parts;
+    const {clock, log, meter} = this.parts;
     const tookMs = clock.monotonicMs() - this.startedAtMs;
     meter.record(this.route?.kind ?? 'none', outcome, cause ?? '', tookMs);
     if (cause === null && status < 500) return;
-    logger.info('request', {
+    log.write(() => ({
       id: singleHeader(this.request.headers, this.names.requestId),
       route: this.route?.name,
       key: singleHeader(this.request.headers, this.names.key),
@@ -237,10 +248,17 @@
       cause,
       took_ms: Math.round(tookMs),
       attempts: this.#servers.join(','),
-    });
+    }));
   }
 }
 
+function isUnframed(headers: AnswerHeaders): boolean {
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
+
 type PassedHeaders = Record<string, string | string[] | number | undefined>;
 
 function passedHeaders(headers: AnswerHeaders): PassedHeaders {
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -3,7 +3,7 @@
 import {RetryBudget} from '@wisteriarun/core';
 import type {GatewayHeaders, GatewayRoute} from '@wisteriarun/core';
 import {singleHeader} from '@wisteriarun/core';
-import type {Clock, Logger} from '@wisteriarun/runtime';
+import type {Clock} from '@wisteriarun/runtime';
 import type {OwnerView} from '../ownership/owner-view.js';
 import type {BundleHolder} from '../store/bundle-holder.js';
 import {Attempt} from './attempt.js';
@@ -11,6 +11,7 @@
 import {readBody} from './caller-body.js';
 import {Exchange} from './exchange.js';
 import type {LoadMeter} from './load-meter.js';
+import type {RequestLog} from './request-log.js';
 import type {RequestMeter} from './request-meter.js';
 import {parseKey, parseWaitMs, requestHeaders} from './request-headers.js';
 import type {ServerChoice} from './server-choice.js';
@@ -31,7 +32,7 @@
   readonly meter: RequestMeter;
   readonly names: GatewayHeaders;
   readonly clock: Clock;
-  readonly logger: Logger;
+  readonly log: RequestLog;
 }
 
 /** Budgets of repeated requests, by service. */
@@ -97,11 +98,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const {bundles, names, clock, logger, meter} = this.parts;
+    const {bundles, names, clock, log, meter} = this.parts;
     const exchange = new Exchange(request, response, names, {
       startedAtMs: clock.monotonicMs(),
       clock,
-      logger,
+      log,
       meter,
     });
     if (bundles.bundle === null) {
@@ -249,7 +250,7 @@
     } else if (outcome.kind === 'not-run') {
       if (outcome.cause === 'not-sent') load.failed(nowMs);
       else if (outcome.load !== null) load.reported(outcome.load, nowMs);
-    } else if (outcome.cause !== 'caller-gone') {
+    } else if (outcome.cause === 'timeout') {
       load.failed(nowMs);
     }
     return outcome;
--- /dev/null
+++ b/packages/gateway/src/entry/request-log.ts
@@ -0,0 +1,47 @@
+/** Log lines of requests, bounded under load. */
+import type {Clock, LogFields, Logger} from '@wisteriarun/runtime';
+
+/** Lines in a second; with about 300 bytes each, at most 6 KB/s. */
+const MAX_LINES_PER_S = 20;
+const SECOND_MS = 1_000;
+
+/** Writes the first lines of each second and counts the others. */
+export class RequestLog {
+  #secondAtMs = 0;
+  #lines = 0;
+  #dropped = 0;
+
+  /**
+   * @param logger - Receives the lines.
+   * @param clock - Clock of the process.
+   */
+  constructor(
+    private readonly logger: Logger,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Writes a line unless this second has had its share.
+   *
+   * @param fields - Fields of the line.
+   */
+  write(fields: () => LogFields): void {
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - this.#secondAtMs >= SECOND_MS) this.#nextSecond(nowMs);
+    if (this.#lines >= MAX_LINES_PER_S) {
+      this.#dropped += 1;
+      return;
+    }
+    this.#lines += 1;
+    this.logger.info('request', fields());
+  }
+
+  #nextSecond(nowMs: number): void {
+    if (this.#dropped > 0) {
+      this.logger.info('request-lines-dropped', {count: this.#dropped});
+    }
+    this.#secondAtMs = nowMs;
+    this.#lines = 0;
+    this.#dropped = 0;
+  }
+}
--- a/packages/gateway/src/entry/server-choice.ts
+++ b/packages/gateway/src/entry/server-choice.ts
@@ -53,12 +53,15 @@
    * @param owners - Owners of keys.
    * @param pool - Connections and load of servers.
    * @param zone - Zone of this VM.
+   * @param leaveMs - Time for which a leaving owner still gets requests while
+   * its keys are moved.
    */
   constructor(
     private readonly directory: ServerDirectory,
     private readonly owners: OwnerView,
     private readonly pool: ServerPool,
     private readonly zone: string,
+    private readonly leaveMs: number,
   ) {}
 
   /**
@@ -86,7 +89,9 @@
       range?.server === null || range?.server === undefined
         ? null
         : this.directory.registry.find(range.server);
-    if (owner === null) {
+    const isLeft =
+      owner !== null && this.directory.leavingMs(owner.id) > this.leaveMs;
+    if (owner === null || isLeft) {
       return refuse('no-owner', OWNERLESS_RETRY_AFTER_MS);
     }
     if (input.tried.has(owner.id) && this.#justRefused(owner, input, nowMs)) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import {CallerIngress, StatusIngress} from './entry/ingress.js';
 import {LoadMeter} from './entry/load-meter.js';
 import {RequestHandler} from './entry/request-handler.js';
+import {RequestLog} from './entry/request-log.js';
 import {RequestMeter} from './entry/request-meter.js';
 import {ServerChoice} from './entry/server-choice.js';
 import {ServerPool} from './entry/server-pool.js';
@@ -29,10 +30,12 @@
 const HOLD_MS = 4_000;
 /** Share of the drain bound after which servers are looked up again. */
 const DIRECTORY_PAUSE_RATIO = 0.4;
+/** Share of the drain bound for which a leaving owner still gets requests. */
+const LEAVE_RATIO = 0.3;
 /** Pause of the assigner between two look-ups of servers. */
 const ASSIGNER_PAUSE_MS = 200;
 /** Interval of load reports. */
-const REPORT_INTERVAL_MS = 500;
+const REPORT_INTERVAL_MS = 250;
 /** Share of the common retry budget that is used. */
 const BUDGET_USE = 0.7;
 /** Time after the stop signal until idle connections are closed. */
@@ -123,12 +126,13 @@
         this.#owners,
         this.#pool,
         settings.vm.zone,
+        settings.drainMs * LEAVE_RATIO,
       ),
       loads: this.#loads,
       meter: new RequestMeter(this.#metrics),
+      log: new RequestLog(logger, clock),
       names: headers,
       clock,
-      logger,
     });
     this.#callers = new CallerIngress((request, response) =>
       this.#handler.handle(request, response).catch((error: unknown) => {
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -19,6 +19,7 @@
 import type {BundleHolder} from '../store/bundle-holder.js';
 import type {ServerDirectory} from '../store/server-directory.js';
 import type {PeerServer} from './peer-server.js';
+import {delay} from '../utils/delay.js';
 import {cutRange, RangeMover} from './range-mover.js';
 import {Renewals} from './renewals.js';
 import {ServerReach} from './server-reach.js';
@@ -35,13 +36,19 @@
 /** Time after the last append for which grants may still be renewed. */
 export const AUTHORITY_MS = 15_000;
 /** Interval at which moves for balance are planned. */
-const BALANCE_INTERVAL_MS = 500;
+const BALANCE_INTERVAL_MS = 250;
 /** Time after which a sample of load counts half. */
-const LOAD_HALF_LIFE_MS = 2_500;
+const LOAD_HALF_LIFE_MS = 1_500;
 /** Time without a new server after which the first ranges are given out. */
 const SETTLED_MS = 600;
 /** Share of its later speed that a server has after its start. */
 const COLD_SPEED = 0.5;
+/** Pause between two appends that should show whether this VM is elected. */
+const VERIFY_PAUSE_MS = 100;
+/** Time without an append after which the other VMs are told so. */
+const LOG_LOST_MS = 1_000;
+/** Pause after an append that failed. */
+const APPEND_RETRY_MS = 200;
 const MS_PER_S = 1_000;
 
 /** Parts that the assigner works with. */
@@ -54,6 +61,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly holdMs: number;
+  /** Id of this VM. */
+  readonly vm: string;
 }
 
 /** Decides owners, renews their grants and answers for both. */
@@ -68,10 +77,12 @@
   readonly #timer: NodeJS.Timeout;
   #serversChangedAtMs: number;
   #beatAtMs = 0;
+  #appendTriedAtMs = 0;
   #balancedAtMs = 0;
   #tickedAtMs: number;
   #tickedWallMs: number;
   #isVerified = true;
+  #verifying: Promise<void> | null = null;
   #isClosed = false;
 
   /**
@@ -103,6 +114,7 @@
       addressOf: server => this.#addresses.get(server) ?? null,
       place: range => this.#place(range),
       mayGrant: () => this.#mayGrant(),
+      quiesce: server => this.#renewals.quiesce(server),
     });
     this.#renewals = new Renewals(this.#mover, clock, logger, holdMs);
     for (const server of directory.registry.servers.values()) {
@@ -159,7 +171,9 @@
   /** The former assigner may have granted its table until its term ended. */
   #takeOver(former: OwnershipRecord, nowMs: number): void {
     const {publisher, holdMs, directory} = this.parts;
-    const authorityMs = former.resigned ? 0 : AUTHORITY_MS;
+    // An earlier process of this VM has ended.
+    const isOver = former.resigned || former.assigner.vm === this.parts.vm;
+    const authorityMs = isOver ? 0 : AUTHORITY_MS;
     for (const range of former.ranges) {
       for (const server of [range.server, range.former]) {
         if (server === null) continue;
@@ -175,17 +189,27 @@
     for (const {id, bornMs} of directory.registry.servers.values()) {
       this.#ledger.restarted(id, bornMs);
     }
+    const kept: RangeOwner[] = [];
     for (const range of former.ranges) {
       if (range.former !== null) {
-        const held = {...range, server: range.former, former: null};
+        const held = {
+          ...range,
+          server: range.former,
+          former: null,
+          moving: false,
+        };
+        publisher.table.assign(held);
         this.#mover.move(held, range.server, 'takeover');
       } else if (range.server !== null) {
         // A higher fence shuts the former assigner out.
         const fence = this.#mover.nextFence();
-        publisher.table.assign({...range, fence, moving: false});
+        const owner = {...range, fence, moving: false};
+        publisher.table.assign(owner);
+        kept.push(owner);
         this.#renewals.hurry(range.server);
       }
     }
+    publisher.show(kept);
   }
 
   #bornOf(range: RangeOwner, server: string): number {
@@ -195,6 +219,8 @@
 
   /** An address that another server uses now has no former one behind it. */
   #endFormerTenants(server: GatewayServer): void {
+    // Anyone may write an entry; one of no known service proves nothing.
+    if (this.parts.bundles.service(server.service) === null) return;
     for (const [id, address] of this.#addresses) {
       if (id === server.id || address !== server.address) continue;
       const listed = this.parts.directory.registry.find(id);
@@ -226,7 +252,7 @@
 
   /** After a pause another VM may have been elected. */
   #detectPause(nowMs: number): void {
-    const {clock, logger, publisher} = this.parts;
+    const {clock, logger} = this.parts;
     const wallMs = clock.wallMs();
     const gapMs = Math.max(
       nowMs - this.#tickedAtMs,
@@ -236,13 +262,7 @@
     this.#tickedWallMs = wallMs;
     if (gapMs < PAUSE_MS || !this.#isVerified) return;
     logger.warn('pause-detected', {gap_ms: Math.round(gapMs)});
-    this.#isVerified = false;
-    const verify = async () => {
-      while (!this.#isClosed && !this.#isVerified && !publisher.isSuperseded) {
-        this.#isVerified = await publisher.persist();
-      }
-    };
-    void verify();
+    void this.#verify();
   }
 
   #mayGrant(): boolean {
@@ -258,9 +278,12 @@
     const {publisher, peers} = this.parts;
     if (nowMs - this.#beatAtMs >= HEARTBEAT_MS) {
       this.#beatAtMs = nowMs;
-      peers.broadcast({kind: 'heartbeat', term: publisher.term});
+      const isLogLost = nowMs - publisher.appendedAtMs > LOG_LOST_MS;
+      peers.broadcast({kind: 'heartbeat', term: publisher.term, isLogLost});
     }
-    if (nowMs - publisher.appendedAtMs >= APPEND_INTERVAL_MS) {
+    const isDue = nowMs - publisher.appendedAtMs >= APPEND_INTERVAL_MS;
+    if (isDue && nowMs - this.#appendTriedAtMs >= APPEND_RETRY_MS) {
+      this.#appendTriedAtMs = nowMs;
       void publisher.persist();
     }
   }
@@ -303,11 +326,7 @@
           continue;
         }
       }
-      const stays =
-        server !== null &&
-        !server.isDraining &&
-        !this.#reach.isLost(server.id, nowMs);
-      if (stays) continue;
+      if (!this.#mustMove(range, server, nowMs)) continue;
       const ranges = leaving.get(range.service) ?? [];
       ranges.push(range);
       leaving.set(range.service, ranges);
@@ -315,6 +334,21 @@
     for (const [service, ranges] of leaving) this.#evacuate(service, ranges);
   }
 
+  /**
+   * A server that does not answer may be cut off from this VM only. Its keys
+   * stay until it can hold them no longer, and if it answers before, it never
+   * lost them.
+   */
+  #mustMove(
+    range: RangeOwner,
+    server: GatewayServer | null,
+    nowMs: number,
+  ): boolean {
+    if (server === null || server.isDraining) return true;
+    if (!this.#reach.isLost(server.id, nowMs)) return false;
+    return this.#ledger.freeAtMs(range.service, range, null) <= nowMs;
+  }
+
   #evacuate(service: string, ranges: readonly RangeOwner[]): void {
     const planner = this.#planner(service);
     for (const range of ranges) {
@@ -340,17 +374,42 @@
     }
   }
 
+  /**
+   * Either another VM was elected, or a late grant has used a higher fence. The
+   * log tells; until it does, no more grants are sent.
+   */
   #onFenced(range: RangeOwner): void {
     const {publisher} = this.parts;
     const present = publisher.table.find(range.service, range.fromKey);
     if (present?.fence !== range.fence || present.moving) return;
-    // Either another VM was elected, which the append shows, or the fence was
-    // used before; a higher one settles both.
-    void publisher.persist().then(isPersisted => {
-      if (isPersisted && !this.#isClosed) this.#mover.establish(present);
+    void this.#verify().then(() => {
+      const later = publisher.table.find(range.service, range.fromKey);
+      if (this.#mayGrant() && later === present) {
+        this.#mover.establish(present);
+      }
     });
   }
 
+  /** Resolves when the log has shown whether this VM is still elected. */
+  #verify(): Promise<void> {
+    this.#isVerified = false;
+    this.#verifying ??= this.#appendUntilKnown().finally(() => {
+      this.#verifying = null;
+    });
+    return this.#verifying;
+  }
+
+  async #appendUntilKnown(): Promise<void> {
+    const {publisher} = this.parts;
+    while (!this.#isClosed && !publisher.isSuperseded) {
+      if (await publisher.persist()) {
+        this.#isVerified = true;
+        return;
+      }
+      await delay(VERIFY_PAUSE_MS);
+    }
+  }
+
   #balance(nowMs: number): void {
     if (nowMs - this.#balancedAtMs < BALANCE_INTERVAL_MS) return;
     this.#balancedAtMs = nowMs;
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -21,6 +21,8 @@
 const WATCH_INTERVAL_MS = 250;
 /** Time without a record of the assigner after which it is replaced. */
 const REPLACE_AFTER_MS = 1_200;
+/** The same for an assigner that is known to be without the log. */
+const REPLACE_LOGLESS_MS = 400;
 /** Elections are spread over this time, so that one VM comes first. */
 const ELECTION_SPREAD_MS = 250;
 /** Interval between two tries to link to the assigner. */
@@ -30,7 +32,6 @@
 export interface CoordinatorParts extends Omit<AssignerParts, 'publisher'> {
   readonly log: OwnershipLog;
   readonly owners: OwnerView;
-  readonly vm: string;
   readonly zone: string;
   readonly peerAddress: string;
 }
@@ -44,6 +45,7 @@
   #linkTriedAtMs = -Infinity;
   #heardAtMs: number;
   #heardOffset = -1;
+  #isAssignerLogLost = false;
   #isLoaded = false;
   #isClosed = false;
   #mayAssign = true;
@@ -127,7 +129,7 @@
   async #step(): Promise<number> {
     if (this.#assigner !== null) return STEP_MS;
     if (!this.#isLoaded) return await this.#load();
-    if (this.#isLinkAlive()) {
+    if (this.#isLinkAlive() && !this.#isAssignerLogLost) {
       this.#heardAtMs = this.parts.clock.monotonicMs();
       return STEP_MS;
     }
@@ -171,7 +173,10 @@
       await this.#elect(placed);
       return STEP_MS;
     }
-    if (nowMs - this.#heardAtMs > REPLACE_AFTER_MS + this.#spreadMs) {
+    const replaceMs = this.#isLinkAlive()
+      ? REPLACE_LOGLESS_MS
+      : REPLACE_AFTER_MS;
+    if (nowMs - this.#heardAtMs > replaceMs + this.#spreadMs) {
       await this.#elect(placed);
       return STEP_MS;
     }
@@ -209,6 +214,7 @@
     if (isSame || nowMs - this.#linkTriedAtMs < RELINK_MS) return;
     this.#linkTriedAtMs = nowMs;
     this.#linkedTo = incarnation;
+    this.#isAssignerLogLost = false;
     this.#link?.close();
     const {vm, zone, clock, logger} = this.parts;
     this.#link = new PeerLink(
@@ -222,6 +228,9 @@
 
   #receive(message: GatewayMessage): void {
     const {owners, logger} = this.parts;
+    if (message.kind === 'heartbeat') {
+      this.#isAssignerLogLost = message.isLogLost;
+    }
     if (message.kind === 'view') owners.replace(message.view);
     if (message.kind === 'change' && !owners.change(message.view)) {
       logger.info('view-gap', {
--- a/packages/gateway/src/ownership/ownership-log.ts
+++ b/packages/gateway/src/ownership/ownership-log.ts
@@ -75,6 +75,10 @@
     record: OwnershipRecord,
   ): Promise<Result<OwnershipAppend, WisteriarunError>> {
     const value = codec.encode(record);
+    const endOffset = this.#endOffset;
+    if (endOffset === null) {
+      return Result.err(ERRORS.logUnavailable('end of the log not known'));
+    }
     let failure: WisteriarunError = ERRORS.logUnavailable('not tried');
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       if (this.#endOffset === null) {
@@ -94,7 +98,10 @@
       if (newest.value?.record.id === record.id) {
         return this.#appended(record, newest.value.offset);
       }
-      if (answer.isOk) return Result.ok({kind: 'superseded'});
+      // The end that the record was decided on must not move on with the log.
+      if (this.#endOffset !== endOffset) {
+        return Result.ok({kind: 'superseded'});
+      }
     }
     return Result.err(failure);
   }
--- a/packages/gateway/src/ownership/peer-link.ts
+++ b/packages/gateway/src/ownership/peer-link.ts
@@ -9,7 +9,7 @@
 /** An open link: messages one way, and the time of the last one the other. */
 export class PeerLink {
   readonly #socket: Socket;
-  #heardAtMs: number;
+  #heardAtMs: number | null = null;
   #isOpen = true;
 
   /**
@@ -29,7 +29,6 @@
     private readonly logger: Logger,
   ) {
     const [host = '', port = ''] = address.split(':');
-    this.#heardAtMs = clock.monotonicMs();
     this.#socket = connect({host, port: Number(port), noDelay: true});
     const decoder = new FrameDecoder();
     this.#socket.on('connect', () => this.send(hello));
@@ -58,8 +57,9 @@
     return this.#isOpen;
   }
 
-  /** Milliseconds since the last message. */
+  /** Milliseconds since the last message; infinite before the first. */
   get silentMs(): number {
+    if (this.#heardAtMs === null) return Infinity;
     return this.clock.monotonicMs() - this.#heardAtMs;
   }
 
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -23,6 +23,8 @@
 const POLL_MS = 50;
 /** Grants without an answer after which another server is chosen. */
 const MAX_GRANT_TRIES = 3;
+/** Time of a grant that only raises the fence of a server. */
+const FENCE_HOLD_MS = 500;
 /** Fences of one term; a term is an offset, which leaves room for 2^33. */
 const FENCES_PER_TERM = 2 ** 20;
 
@@ -44,6 +46,8 @@
   place(range: RangeOwner): GatewayServer | null;
   /** Whether grants may be sent. */
   mayGrant(): boolean;
+  /** Resolves when no renewal at a server is under way. */
+  quiesce(server: string): Promise<void>;
 }
 
 /** Runs one flow for each range that changes hands. */
@@ -86,6 +90,7 @@
    * @param reason - For the log.
    */
   move(range: RangeOwner, to: string | null, reason: string): void {
+    if (!this.#isFree(range)) return;
     void this.#flow(async () => {
       const {publisher, clock, logger} = this.parts;
       const startedAtMs = clock.monotonicMs();
@@ -125,6 +130,7 @@
    * @param range - Range with its owner, which holds nothing of it.
    */
   establish(range: RangeOwner): void {
+    if (!this.#isFree(range)) return;
     const moving = {...range, moving: true};
     this.parts.publisher.decide(moving);
     void this.#flow(async () => {
@@ -154,22 +160,35 @@
       holdMs,
       handover,
     };
-    const hold = {...owner, server: server.id, bornMs: server.bornMs};
+    const held = {...owner, server: server.id, bornMs: server.bornMs};
+    const pending = ledger.send(held, holdMs, clock.monotonicMs());
     const answer = await granter.grant(server.address, grant, GRANT_TIMEOUT_MS);
     const nowMs = clock.monotonicMs();
     if (answer.isErr) {
       reach.failed(server.id, nowMs);
-      if (answer.error.kind !== 'call-not-sent') {
-        ledger.extend(hold, holdMs, nowMs, true);
-      }
+      if (answer.error.kind === 'call-not-sent') pending.refused();
+      else pending.unanswered(nowMs);
       return 'failed';
     }
     reach.answered(server.id);
-    if (answer.value !== 'granted') return 'fenced';
-    ledger.extend(hold, holdMs, nowMs, false);
+    if (answer.value !== 'granted') {
+      pending.refused();
+      return 'fenced';
+    }
+    pending.granted(nowMs);
     return 'granted';
   }
 
+  /** Two flows for one key could grant it to two servers. */
+  #isFree(range: RangeOwner): boolean {
+    const {publisher} = this.parts;
+    for (const part of publisher.table.overlapping(range.service, range)) {
+      const isSame = part.server === range.server && part.fence === range.fence;
+      if (part.moving || !isSame) return false;
+    }
+    return true;
+  }
+
   async #flow(run: () => Promise<void>): Promise<void> {
     this.#flowCount += 1;
     try {
@@ -185,12 +204,15 @@
     const {granter, ledger, publisher, clock} = this.parts;
     const address = server === null ? null : this.parts.addressOf(server);
     if (server === null || address === null) return null;
+    // A renewal under way covers the keys and would grant them once more.
+    await this.parts.quiesce(server);
     const startedAtMs = clock.monotonicMs();
     let token: string | null = null;
     let isReleased = false;
     let isCalling = false;
     const call = async () => {
       isCalling = true;
+      await this.#fenceOff(range, server, address);
       const answer = await granter.release(address, range, RELEASE_TIMEOUT_MS);
       if (answer.isOk) {
         token = answer.value;
@@ -216,6 +238,32 @@
     return token;
   }
 
+  /**
+   * An unanswered grant could take effect after the release. A server refuses
+   * it once it has accepted a higher fence.
+   */
+  async #fenceOff(
+    range: RangeOwner,
+    server: string,
+    address: string,
+  ): Promise<void> {
+    const {ledger, granter, clock} = this.parts;
+    if (!ledger.isUncertain(range.service, server, range)) return;
+    const fence = this.nextFence();
+    const grant = {...range, fence, holdMs: FENCE_HOLD_MS, handover: null};
+    const held = {...grant, server};
+    const pending = ledger.send(held, FENCE_HOLD_MS, clock.monotonicMs());
+    const answer = await granter.grant(address, grant, GRANT_TIMEOUT_MS);
+    const nowMs = clock.monotonicMs();
+    if (answer.isErr && answer.error.kind !== 'call-not-sent') {
+      pending.unanswered(nowMs);
+    } else if (answer.isOk && answer.value === 'granted') {
+      pending.granted(nowMs);
+    } else {
+      pending.refused();
+    }
+  }
+
   /** Ends when a server holds the keys; returns it. */
   async #settle(
     range: RangeOwner,
@@ -274,7 +322,7 @@
     server: GatewayServer,
     handover: string | null,
   ): Promise<boolean> {
-    const {publisher, ledger, mayGrant} = this.parts;
+    const {publisher, mayGrant} = this.parts;
     for (let tries = 0; tries < MAX_GRANT_TRIES; tries += 1) {
       if (this.#isClosed) return false;
       if (!mayGrant()) {
@@ -284,7 +332,6 @@
       const outcome = await this.grant(owner, server, handover);
       if (this.#isClosed) return false;
       if (outcome === 'granted') {
-        ledger.fenced(owner.service, server.id, owner);
         publisher.decide({...owner, former: null, moving: false});
         return true;
       }
--- a/packages/gateway/src/ownership/renewals.ts
+++ b/packages/gateway/src/ownership/renewals.ts
@@ -10,7 +10,7 @@
 
 interface Renewal {
   nextAtMs: number;
-  isRunning: boolean;
+  running: Promise<void> | null;
 }
 
 /** Keeps a schedule for each server. */
@@ -50,11 +50,21 @@
     if (renewal === undefined) {
       // Spread over the interval, so that servers are not called in step.
       const nextAtMs = nowMs + Math.random() * this.#intervalMs;
-      renewal = {nextAtMs, isRunning: false};
+      renewal = {nextAtMs, running: null};
       this.#servers.set(server.id, renewal);
     }
-    if (renewal.isRunning || nowMs < renewal.nextAtMs) return;
-    void this.#run(renewal, server, ranges, onFenced);
+    if (renewal.running !== null || nowMs < renewal.nextAtMs) return;
+    renewal.running = this.#run(renewal, server, ranges, onFenced);
+  }
+
+  /**
+   * Waits for the renewals at a server that are under way.
+   *
+   * @param server - Id of the server.
+   * @returns Resolves when there are none.
+   */
+  async quiesce(server: string): Promise<void> {
+    await this.#servers.get(server)?.running;
   }
 
   /**
@@ -63,7 +73,7 @@
    * @param server - Id of the server.
    */
   hurry(server: string): void {
-    this.#servers.set(server, {nextAtMs: 0, isRunning: false});
+    this.#servers.set(server, {nextAtMs: 0, running: null});
   }
 
   async #run(
@@ -72,7 +82,6 @@
     ranges: readonly RangeOwner[],
     onFenced: (range: RangeOwner) => void,
   ): Promise<void> {
-    renewal.isRunning = true;
     const startedAtMs = this.clock.monotonicMs();
     const outcomes = await Promise.all(
       ranges.map(async range => {
@@ -93,6 +102,6 @@
     renewal.nextAtMs = isWhole
       ? startedAtMs + this.#intervalMs
       : this.clock.monotonicMs() + RETRY_MS;
-    renewal.isRunning = false;
+    renewal.running = null;
   }
 }
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -16,6 +16,7 @@
   readonly #registry = new ServerRegistry();
   readonly #changes = new Channel<GatewayServer | null>();
   readonly #removals = new Map<string, NodeJS.Timeout>();
+  readonly #leavingSinceMs = new Map<string, number>();
   #isLoaded = false;
   #regainedAtMs = -Infinity;
   #isLost = false;
@@ -50,6 +51,17 @@
     return this.#changes;
   }
 
+  /**
+   * Tells for how long a server has been known to leave.
+   *
+   * @param id - Id of the server.
+   * @returns Milliseconds; 0 for a server that stays.
+   */
+  leavingMs(id: string): number {
+    const sinceMs = this.#leavingSinceMs.get(id);
+    return sinceMs === undefined ? 0 : this.clock.monotonicMs() - sinceMs;
+  }
+
   /** Stops all timers. */
   close(): void {
     for (const timer of this.#removals.values()) clearTimeout(timer);
@@ -98,6 +110,10 @@
     this.#keep(key);
     const server = decoded.value;
     if (this.#registry.describe(server) !== 'changed') return true;
+    if (!server.isDraining) this.#leavingSinceMs.delete(key);
+    else if (!this.#leavingSinceMs.has(key)) {
+      this.#leavingSinceMs.set(key, this.clock.monotonicMs());
+    }
     this.logger.info('server-changed', {
       server: key,
       service: server.service,
@@ -134,6 +150,7 @@
   #drop(id: string): void {
     this.#removals.delete(id);
     this.#registry.remove(id);
+    this.#leavingSinceMs.delete(id);
     this.logger.info('server-gone', {server: id});
     this.#changes.emit(null);
   }
--- /dev/null
+++ b/packages/gateway/test/harness.ts
@@ -0,0 +1,262 @@
+/** A gateway in this process, between stand-ins. */
+import {
+  Gateway,
+  type GatewaySettings,
+  parseGatewaySettings,
+} from '@wisteriarun/gateway';
+import {
+  HttpKeyedLog,
+  HttpKeyGranter,
+  PLATFORM_CODEC,
+  PLATFORM_HEADERS,
+} from '@wisteriarun/platform';
+import {createLogger, SystemClock} from '@wisteriarun/runtime';
+import {KeyServer, PlatformStore} from '@wisteriarun/standins';
+import type {KeyServerOptions} from '@wisteriarun/standins';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {request} from 'undici';
+
+const HEARTBEAT_MS = 200;
+const READY_TIMEOUT_MS = 10_000;
+const HOST = 'court.example';
+
+/** Resources of a bundle with a keyed service and one without keys. */
+export function resources(timeoutMs = 600): object[] {
+  const route = (kind: string, prefix: string, service: string) => ({
+    type: 'routes',
+    metadata: {name: `r-${kind}`},
+    spec: {
+      host: HOST,
+      path_prefix: prefix,
+      kind,
+      timeout: `${timeoutMs}ms`,
+      slo: '250ms',
+      priority: kind === 'safe' ? 2 : 1,
+      service,
+      max_attempts: 2,
+    },
+  });
+  const service = (name: string, sharded: boolean) => ({
+    type: 'services',
+    metadata: {name},
+    spec: {health_path: '/health', max_conns: 100, sharded, warm: '1s'},
+  });
+  return [
+    route('safe', '/read/', 'records'),
+    route('unsafe', '/file/', 'records'),
+    route('upload', '/audio/', 'audio'),
+    service('records', true),
+    service('audio', false),
+    {
+      type: 'limits',
+      metadata: {},
+      spec: {
+        max_header_bytes: 8_192,
+        max_body_bytes: 2_000_000,
+        header_timeout: '1s',
+        idle_timeout: '5s',
+      },
+    },
+  ];
+}
+
+/** A server with the service that it belongs to. */
+interface Member {
+  readonly id: string;
+  readonly service: string;
+  readonly server: KeyServer;
+  address: string;
+  sequence: number;
+  state: 'ready' | 'draining';
+}
+
+/** An answer that a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Record<string, string | string[] | undefined>;
+  readonly body: string;
+}
+
+/** Stand-ins with any number of gateways between them. */
+export class GatewayHarness {
+  readonly store = new PlatformStore();
+  readonly members: Member[] = [];
+  readonly gateways: {gateway: Gateway; callers: string; ready: string}[] = [];
+  #storeAddress = '';
+  #timer: NodeJS.Timeout | null = null;
+  #version = 0;
+
+  /** Starts the store with a first bundle. */
+  async start(): Promise<void> {
+    const {host, port} = await this.store.start();
+    this.#storeAddress = `${host}:${port}`;
+    this.publish(resources());
+    this.#timer = setInterval(() => this.#heartbeats(), HEARTBEAT_MS);
+  }
+
+  /** Publishes the next bundle. */
+  publish(items: object[]): void {
+    this.#version += 1;
+    const body = {version: `r${this.#version}`, resources: items};
+    this.store.put('keyed.op', 'config', JSON.stringify(body));
+  }
+
+  /** Adds a server. */
+  async addServer(
+    service: string,
+    options: KeyServerOptions,
+  ): Promise<KeyServer> {
+    const server = new KeyServer(options);
+    const {host, port} = await server.start();
+    const member: Member = {
+      id: options.id,
+      service,
+      server,
+      address: `${host}:${port}`,
+      sequence: 0,
+      state: 'ready',
+    };
+    this.members.push(member);
+    this.#describe(member);
+    return server;
+  }
+
+  /** Has a server report that it leaves. */
+  drain(id: string): void {
+    const member = this.members.find(({id: known}) => known === id)!;
+    member.state = 'draining';
+    this.#describe(member);
+  }
+
+  /** Starts a gateway and waits until it is ready. */
+  async addGateway(vm: string): Promise<void> {
+    const ports = await freePorts(4);
+    const settings = parseGatewaySettings(
+      [
+        `[vm]\nid=${vm}\nzone=a\nhost=127.0.0.1`,
+        `[listen]\ncallers=127.0.0.1:${ports[0]}`,
+        `readiness=127.0.0.1:${ports[1]}`,
+        `peer_port=${ports[2]}\nmetrics_port=${ports[3]}`,
+        `[store]\naddress=${this.#storeAddress}`,
+        '[bounds]\ngrace=4s',
+      ].join('\n'),
+    ).unwrapOrElse(errors => {
+      throw new Error(JSON.stringify(errors));
+    }) as GatewaySettings;
+    const gateway = new Gateway(settings, {
+      log: new HttpKeyedLog(settings.storeAddress),
+      granter: new HttpKeyGranter(),
+      codec: PLATFORM_CODEC,
+      headers: PLATFORM_HEADERS,
+      clock: new SystemClock(),
+      logger: createLogger({
+        level: 'error',
+        process: vm,
+        zone: 'a',
+      }),
+    });
+    await gateway.start();
+    const callers = settings.callersAddress;
+    this.gateways.push({gateway, callers, ready: settings.readinessAddress});
+    await this.until(() => gateway.isReady);
+    await this.until(() => this.#isServed(callers));
+  }
+
+  /** Sends one request through a gateway. */
+  async call(
+    method: string,
+    path: string,
+    options: {
+      id?: string;
+      key?: number | string;
+      deadlineMs?: number;
+      body?: string;
+      gateway?: number;
+    } = {},
+  ): Promise<CallerAnswer> {
+    const {id, key, deadlineMs = 500, body, gateway = 0} = options;
+    const answer = await request(
+      `http://${this.gateways[gateway]!.callers}${path}`,
+      {
+        method: method as 'GET',
+        body: body ?? null,
+        headers: {
+          host: HOST,
+          'request-id': id ?? `id-${Math.random()}`,
+          'deadline-ms': String(deadlineMs),
+          ...(key === undefined ? {} : {'shard-key': String(key)}),
+        },
+      },
+    );
+    const {statusCode: status, headers} = answer;
+    return {status, headers, body: await answer.body.text()};
+  }
+
+  /** Waits until a condition holds. */
+  async until(condition: () => boolean | Promise<boolean>): Promise<void> {
+    const startedAtMs = performance.now();
+    while (!(await condition())) {
+      if (performance.now() - startedAtMs > READY_TIMEOUT_MS) {
+        throw new Error('the condition did not come to hold in time');
+      }
+      await new Promise(resolve => setTimeout(resolve, 20));
+    }
+  }
+
+  /** Stops everything. */
+  async close(): Promise<void> {
+    if (this.#timer !== null) clearInterval(this.#timer);
+    for (const {gateway} of this.gateways) gateway.close();
+    await Promise.all(this.members.map(({server}) => server.close()));
+    await this.store.close();
+  }
+
+  async #isServed(callers: string): Promise<boolean> {
+    const gateway = this.gateways.findIndex(
+      ({callers: known}) => known === callers,
+    );
+    const keyed = this.members.some(({service}) => service === 'records');
+    if (!keyed) return true;
+    for (const key of [0, 30_000, 65_535]) {
+      const answer = await this.call('GET', '/read/probe', {key, gateway});
+      if (answer.status !== 200) return false;
+    }
+    return true;
+  }
+
+  #heartbeats(): void {
+    for (const member of this.members) this.#describe(member);
+  }
+
+  #describe(member: Member): void {
+    member.sequence += 1;
+    const entry = {
+      addr: member.address,
+      born: 1_700_000_000_000,
+      info: {service: member.service, version: 'v1', zone: 'a', slots: 3},
+      status: {state: member.state, seq: member.sequence, warmup_left: '0ms'},
+    };
+    this.store.put('keyed.servers', member.id, JSON.stringify(entry));
+  }
+}
+
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      server =>
+        new Promise<number>(resolve =>
+          server.listen(0, '127.0.0.1', () =>
+            resolve((server.address() as AddressInfo).port),
+          ),
+        ),
+    ),
+  );
+  await Promise.all(
+    servers.map(
+      server => new Promise<void>(resolve => server.close(() => resolve())),
+    ),
+  );
+  return ports;
+}
--- /dev/null
+++ b/packages/gateway/test/ownership-log.test.ts
@@ -0,0 +1,82 @@
+import {OwnershipLog} from '../src/ownership/ownership-log.js';
+import {ERRORS} from '@wisteriarun/core';
+import type {KeyedLog, OwnershipRecord} from '@wisteriarun/core';
+import {Result} from 'true-myth';
+import {HttpKeyedLog} from '@wisteriarun/platform';
+import {createLogger} from '@wisteriarun/runtime';
+import {PlatformStore} from '@wisteriarun/standins';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+const TOPIC = 'keyed.wisteriarun-ownership';
+const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+
+const record = (vm: string, id: string): OwnershipRecord => ({
+  id: `${vm}-${id}`,
+  term: 0,
+  assigner: {vm, peerAddress: '127.0.0.1:1', incarnation: vm},
+  revision: 0,
+  resigned: false,
+  ranges: [],
+});
+
+describe('the ownership log', () => {
+  let store: PlatformStore;
+  const logs: HttpKeyedLog[] = [];
+  let one: OwnershipLog;
+  let two: OwnershipLog;
+
+  beforeEach(async () => {
+    store = new PlatformStore();
+    const {host, port} = await store.start();
+    const open = () => {
+      const log = new HttpKeyedLog(`${host}:${port}`);
+      logs.push(log);
+      return new OwnershipLog(log, logger);
+    };
+    one = open();
+    two = open();
+    await one.refresh();
+    await two.refresh();
+  });
+
+  afterEach(async () => {
+    for (const log of logs.splice(0)) log.close();
+    await store.close();
+  });
+
+  it('lets one of two assigners append', async () => {
+    const first = await one.append(record('vm-1', 'a'));
+    const second = await two.append(record('vm-2', 'a'));
+    expect(first.isOk && first.value.kind).toBe('appended');
+    expect(second.isOk && second.value.kind).toBe('superseded');
+  });
+
+  it('finds a record whose answer was lost, and appends it once', async () => {
+    store.fault = 'lose-answers';
+    setTimeout(() => (store.fault = 'none'), 20);
+    const answer = await one.append(record('vm-1', 'a'));
+    expect(answer.isOk && answer.value).toEqual({kind: 'appended', offset: 0});
+    expect(store.end(TOPIC)).toBe(1);
+  });
+
+  // Appending again at the new end took the term from the VM that had been
+  // elected during the outage, so that two VMs granted the same keys.
+  it('does not append after another VM once an append has failed', async () => {
+    const inner = logs[0]!;
+    const failing: KeyedLog = {
+      newest: log => inner.newest(log),
+      read: (log, offset, waitMs) => inner.read(log, offset, waitMs),
+      appendAt: async (log, key) => {
+        failing.appendAt = (...call) => inner.appendAt(...call);
+        await two.append(record('vm-2', 'a'));
+        return Result.err(ERRORS.appendUncertain(key, `lost on ${log}`));
+      },
+      close: () => inner.close(),
+    };
+    const late = new OwnershipLog(failing, logger);
+    await late.refresh();
+    const answer = await late.append(record('vm-1', 'a'));
+    expect(answer.isOk && answer.value.kind).toBe('superseded');
+    expect(store.end(TOPIC)).toBe(1);
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/ownership.test.ts
@@ -0,0 +1,89 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {GatewayHarness} from './harness.js';
+
+const KEYS = Array.from({length: 32}, (_, index) => index * 2_048);
+
+describe('owners of keys', () => {
+  let harness: GatewayHarness;
+
+  beforeEach(async () => {
+    harness = new GatewayHarness();
+    await harness.start();
+    for (const id of ['i-1', 'i-2', 'i-3']) {
+      await harness.addServer('records', {id});
+    }
+  });
+
+  afterEach(() => harness.close());
+
+  const holders = (key: number) =>
+    harness.members.filter(({server}) => server.holds(key)).length;
+
+  it('are the same through every VM, and one for each key', async () => {
+    await harness.addGateway('vm-1');
+    await harness.addGateway('vm-2');
+    for (const key of KEYS) {
+      expect(holders(key)).toBe(1);
+      for (const gateway of [0, 1]) {
+        const answer = await harness.call('GET', '/read/x', {key, gateway});
+        expect(answer.status).toBe(200);
+      }
+    }
+  });
+
+  it('hand their keys over when they leave, and no request is lost', async () => {
+    await harness.addGateway('vm-1');
+    harness.drain('i-2');
+    const drained = harness.members[1]!.server;
+    await harness.until(async () => {
+      for (const key of KEYS) {
+        expect(holders(key)).toBeLessThanOrEqual(1);
+        const answer = await harness.call('GET', '/read/x', {key});
+        expect(answer.status).toBe(200);
+      }
+      return KEYS.every(key => !drained.holds(key));
+    });
+  });
+
+  it('stay in place when another VM takes the assignment over', async () => {
+    await harness.addGateway('vm-1');
+    await harness.addGateway('vm-2');
+    const before = KEYS.map(key =>
+      harness.members.findIndex(({server}) => server.holds(key)),
+    );
+    harness.gateways[0]!.gateway.close();
+    // Longer than the grants last: the other VM must have renewed them.
+    await new Promise(resolve => setTimeout(resolve, 5_000));
+    for (const [index, key] of KEYS.entries()) {
+      const answer = await harness.call('GET', '/read/x', {key, gateway: 1});
+      expect(answer.status).toBe(200);
+      const owner = harness.members.findIndex(({server}) => server.holds(key));
+      expect(owner).toBe(before[index]);
+    }
+  });
+
+  it('keep their keys while the store is down', async () => {
+    await harness.addGateway('vm-1');
+    harness.store.fault = 'silent';
+    await new Promise(resolve => setTimeout(resolve, 5_500));
+    for (const key of KEYS) {
+      const answer = await harness.call('GET', '/read/x', {key});
+      expect(answer.status).toBe(200);
+    }
+  });
+
+  it('change after a loss only when the grants have lapsed', async () => {
+    await harness.addGateway('vm-1');
+    const lost = harness.members[0]!;
+    const keys = KEYS.filter(key => lost.server.holds(key));
+    await lost.server.close();
+    const closedAtMs = performance.now();
+    await harness.until(() =>
+      keys.every(key =>
+        harness.members.slice(1).some(({server}) => server.holds(key)),
+      ),
+    );
+    // The lost server's clock may still have run: its grants lasted 4 s.
+    expect(performance.now() - closedAtMs).toBeGreaterThan(2_500);
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/requests.test.ts
@@ -0,0 +1,158 @@
+import type {AnswerFault, KeyServer} from '@wisteriarun/standins';
+import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
+import {GatewayHarness} from './harness.js';
+
+const KEY = 1_234;
+
+describe('requests through a gateway', () => {
+  const harness = new GatewayHarness();
+  let server: KeyServer;
+
+  beforeAll(async () => {
+    await harness.start();
+    server = await harness.addServer('records', {id: 'i-1'});
+    await harness.addServer('audio', {id: 'i-2', checksKeys: false});
+    await harness.addGateway('vm-1');
+  });
+
+  afterEach(() => {
+    server.answerFault = 'none';
+  });
+
+  afterAll(() => harness.close());
+
+  it('are answered by the owner of the key, with its signature', async () => {
+    const answer = await harness.call('POST', '/file/x', {
+      id: 'f-1',
+      key: KEY,
+      body: 'a filing',
+    });
+    expect(answer.status).toBe(200);
+    expect(answer.body).toBe('answer of i-1');
+    expect(answer.headers['response-signature']).toBe('i-1.f-1');
+    const run = server.runs.find(({id}) => id === 'f-1');
+    expect(run).toMatchObject({key: KEY, body: 'a filing'});
+    // A server must not be handed more time than is left.
+    expect(run!.deadlineMs).toBeLessThanOrEqual(500);
+  });
+
+  // What a server may do to an answer, and what its caller may be told.
+  const table: {fault: AnswerFault; filing: number; read: number}[] = [
+    {fault: 'reset', filing: 502, read: 502},
+    {fault: 'truncated', filing: 502, read: 502},
+    {fault: 'unframed-reset', filing: 502, read: 502},
+    {fault: 'chunked-end', filing: 502, read: 502},
+    {fault: 'garbage', filing: 502, read: 502},
+    {fault: 'wrong-id', filing: 502, read: 502},
+    {fault: 'unsigned', filing: 502, read: 502},
+    {fault: 'unproven-503', filing: 502, read: 502},
+    {fault: 'encoded', filing: 502, read: 502},
+    {fault: 'silent', filing: 504, read: 504},
+    {fault: 'signed-500', filing: 500, read: 500},
+  ];
+  it.each(table)(
+    'that may have run are not called not-run, and run once: $fault',
+    async ({fault, filing}) => {
+      server.answerFault = fault;
+      const id = `file-${fault}`;
+      const answer = await harness.call('POST', '/file/x', {id, key: KEY});
+      expect(answer.status).toBe(filing);
+      expect(server.runs.filter(run => run.id === id)).toHaveLength(1);
+    },
+  );
+
+  it.each(table)(
+    'that may be repeated reach at most two servers: $fault',
+    async ({fault, read}) => {
+      server.answerFault = fault;
+      const id = `read-${fault}`;
+      const answer = await harness.call('GET', '/read/x', {id, key: KEY});
+      expect(answer.status).toBe(read);
+      const runs = server.runs.filter(run => run.id === id);
+      expect(runs.length).toBeLessThanOrEqual(2);
+    },
+  );
+
+  it('are not framed as complete when their answer has no length', async () => {
+    server.answerFault = 'unframed-end';
+    const answer = await harness.call('GET', '/read/x', {key: KEY});
+    expect(answer.status).toBe(200);
+    expect(answer.body).toBe('half');
+    expect(answer.headers['content-length']).toBeUndefined();
+    expect(answer.headers['transfer-encoding']).toBeUndefined();
+    expect(answer.headers['connection']).toBe('close');
+  });
+
+  it('that may be repeated survive one lost answer', async () => {
+    server.answerFault = 'reset';
+    setTimeout(() => (server.answerFault = 'none'), 2);
+    const answers = await Promise.all(
+      Array.from({length: 3}, () => harness.call('GET', '/read/x', {key: KEY})),
+    );
+    expect(answers.filter(({status}) => status === 200).length).toBeGreaterThan(
+      0,
+    );
+  });
+
+  it.each([
+    ['no route for the path', '/none/x', KEY, 404],
+    ['no key', '/read/x', undefined, 400],
+    ['a key that is no number', '/read/x', 'abc', 400],
+    ['a key beyond the last', '/read/x', 65_536, 400],
+  ])('are rejected with %s', async (_, path, key, status) => {
+    const answer = await harness.call('GET', path, {
+      ...(key === undefined ? {} : {key}),
+    });
+    expect(answer.status).toBe(status);
+  });
+
+  it('pass large uploads on whole', async () => {
+    const body = 'x'.repeat(1_500_000);
+    const id = 'up-1';
+    const answer = await harness.call('POST', '/audio/x', {
+      id,
+      body,
+      deadlineMs: 3_000,
+    });
+    expect(answer.status).toBe(200);
+    const audio = harness.members[1]!.server;
+    expect(audio.runs.find(run => run.id === id)?.body.length).toBe(
+      body.length,
+    );
+  });
+
+  it('are refused above the largest body', async () => {
+    const answer = await harness.call('POST', '/audio/x', {
+      body: 'x'.repeat(2_000_001),
+    });
+    expect(answer.status).toBe(413);
+  });
+});
+
+describe('a server that is full', () => {
+  it('leads to refusals with a time to come back, and nothing runs twice', async () => {
+    const harness = new GatewayHarness();
+    await harness.start();
+    const server = await harness.addServer('records', {
+      id: 'i-1',
+      slots: 1,
+      queue: 1,
+      workMs: 60,
+    });
+    await harness.addGateway('vm-1');
+    const calls = Array.from({length: 20}, (_, index) =>
+      harness.call('POST', '/file/x', {id: `b-${index}`, key: KEY}),
+    );
+    const answers = await Promise.all(calls);
+    const refused = answers.filter(({status}) => status === 503);
+    expect(refused.length).toBeGreaterThan(0);
+    for (const {headers} of refused) {
+      expect(Number(headers['retry-after'])).toBeGreaterThan(0);
+    }
+    const ids = server.runs.map(({id}) => id).filter(id => id.startsWith('b-'));
+    expect(new Set(ids).size).toBe(ids.length);
+    const ok = answers.filter(({status}) => status === 200).length;
+    expect(ids.length).toBe(ok);
+    await harness.close();
+  });
+});
--- a/testing/standins/src/index.ts
+++ b/testing/standins/src/index.ts
@@ -8,6 +8,8 @@
 export * from './checker.js';
 export * from './key-store.js';
 export * from './log-service.js';
+export * from './platform/key-server.js';
+export * from './platform/store.js';
 export * from './records.js';
 export * from './vm-list.js';
 export {type Address, type ListenOptions} from './utils/http-endpoint.js';
--- /dev/null
+++ b/testing/standins/src/platform/store.ts
@@ -0,0 +1,231 @@
+/** Stand-in of the platform's metadata store: keyed topics of one partition. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {HttpEndpoint, sendJson} from '../utils/http-endpoint.js';
+import type {Address, ListenOptions} from '../utils/http-endpoint.js';
+
+const LENGTH_BYTES = 4;
+const PAGE_ITEMS = 500;
+
+/** How the store treats calls. */
+export type StoreFault =
+  | 'none'
+  /** Nothing is done: 503. */
+  | 'busy'
+  /** Nothing is done and no answer comes. */
+  | 'silent'
+  /** The connection is reset before anything is done. */
+  | 'reset'
+  /** Appends are done and their answers lost. */
+  | 'lose-answers';
+
+interface StoredRecord {
+  readonly key: string;
+  readonly value: Buffer;
+}
+
+interface Topic {
+  firstOffset: number;
+  readonly records: StoredRecord[];
+  readonly waiting: Set<() => void>;
+}
+
+/** Call that the store has seen. */
+export interface StoreCall {
+  readonly path: string;
+  readonly status: number;
+}
+
+/** Keeps keyed topics in memory. */
+export class PlatformStore {
+  /** Present fault; it holds for calls that arrive from now on. */
+  fault: StoreFault = 'none';
+  /** Records of one page of the newest ones. */
+  pageItems = PAGE_ITEMS;
+  readonly calls: StoreCall[] = [];
+  readonly #topics = new Map<string, Topic>();
+  readonly #endpoint = new HttpEndpoint((request, response) =>
+    this.#serve(request, response),
+  );
+
+  /**
+   * Starts to listen.
+   *
+   * @param options - Address.
+   * @returns The address in use.
+   */
+  start(options: ListenOptions = {}): Promise<Address> {
+    return this.#endpoint.start(options);
+  }
+
+  /** Stops. */
+  close(): Promise<void> {
+    return this.#endpoint.close();
+  }
+
+  /**
+   * Writes a record as an operator or a server does.
+   *
+   * @param topicName - Name of the topic.
+   * @param key - Key of the record.
+   * @param value - Value; an empty one deletes the key.
+   * @returns Offset of the record.
+   */
+  put(topicName: string, key: string, value: string | Buffer): number {
+    return this.#append(this.#topic(topicName), key, Buffer.from(value));
+  }
+
+  /**
+   * Forgets the history of a topic; the newest record of each key stays.
+   *
+   * @param topicName - Name of the topic.
+   */
+  compact(topicName: string): void {
+    const topic = this.#topic(topicName);
+    topic.firstOffset = topic.records.length;
+  }
+
+  /**
+   * Number of records that a topic ever had.
+   *
+   * @param topicName - Name of the topic.
+   * @returns The end of the topic.
+   */
+  end(topicName: string): number {
+    return this.#topic(topicName).records.length;
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://store');
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    response.on('finish', () =>
+      this.calls.push({path: url.pathname, status: response.statusCode}),
+    );
+    if (this.fault === 'silent') return;
+    if (this.fault === 'reset') {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    if (this.fault === 'busy') {
+      sendJson(response, 503, {});
+      return;
+    }
+    const topic = this.#topic(url.searchParams.get('topic') ?? '');
+    const body = Buffer.concat(chunks);
+    if (url.pathname === '/api/log-append') {
+      this.#serveAppend(topic, url, body, request, response);
+    } else if (url.pathname === '/api/log-read') {
+      await this.#serveRead(topic, url, response);
+    } else if (url.pathname === '/api/log-newest') {
+      this.#serveNewest(topic, url, response);
+    } else {
+      sendJson(response, 404, {});
+    }
+  }
+
+  #serveAppend(
+    topic: Topic,
+    url: URL,
+    body: Buffer,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const asOf = url.searchParams.get('as_of');
+    const end = topic.records.length;
+    if (asOf !== null && Number(asOf) !== end) {
+      sendJson(response, 412, {end});
+      return;
+    }
+    const offset = end;
+    for (let at = 0; at < body.length;) {
+      const length = body.readUInt32BE(at);
+      const content = body.subarray(
+        at + LENGTH_BYTES,
+        at + LENGTH_BYTES + length,
+      );
+      const keyEnd = 1 + content.readUInt8(0);
+      const key = content.toString('utf8', 1, keyEnd);
+      this.#append(topic, key, Buffer.from(content.subarray(keyEnd)));
+      at += LENGTH_BYTES + length;
+    }
+    if (this.fault === 'lose-answers') request.socket.resetAndDestroy();
+    else sendJson(response, 200, {offset, end: topic.records.length});
+  }
+
+  async #serveRead(
+    topic: Topic,
+    url: URL,
+    response: ServerResponse,
+  ): Promise<void> {
+    const from = Number(url.searchParams.get('from'));
+    const waitMs = Number(url.searchParams.get('wait_ms') ?? 0);
+    if (from < topic.firstOffset) {
+      sendJson(response, 410, {first: topic.firstOffset});
+      return;
+    }
+    if (from >= topic.records.length && waitMs > 0) {
+      await new Promise<void>(resolve => {
+        const wake = () => {
+          clearTimeout(timer);
+          topic.waiting.delete(wake);
+          resolve();
+        };
+        const timer = setTimeout(wake, waitMs);
+        topic.waiting.add(wake);
+      });
+    }
+    const head = Buffer.alloc(16);
+    head.writeBigUInt64BE(BigInt(topic.records.length), 0);
+    head.writeBigUInt64BE(BigInt(topic.firstOffset), 8);
+    const frames = topic.records.slice(from).map(frame);
+    response.writeHead(200).end(Buffer.concat([head, ...frames]));
+  }
+
+  #serveNewest(topic: Topic, url: URL, response: ServerResponse): void {
+    const newest = new Map<string, {offset: number; value: Buffer}>();
+    for (const [offset, {key, value}] of topic.records.entries()) {
+      newest.delete(key);
+      if (value.length > 0) newest.set(key, {offset, value});
+    }
+    const after = url.searchParams.get('after');
+    const keys = [...newest.keys()]
+      .sort()
+      .filter(key => after === null || key > after);
+    const items = keys.slice(0, this.pageItems).map(key => ({
+      key,
+      value: newest.get(key)!.value.toString('base64'),
+      offset: newest.get(key)!.offset,
+    }));
+    sendJson(response, 200, {
+      items,
+      has_more: keys.length > items.length,
+      end: topic.records.length,
+    });
+  }
+
+  #append(topic: Topic, key: string, value: Buffer): number {
+    topic.records.push({key, value});
+    for (const wake of [...topic.waiting]) wake();
+    return topic.records.length - 1;
+  }
+
+  #topic(name: string): Topic {
+    let topic = this.#topics.get(name);
+    if (topic === undefined) {
+      topic = {firstOffset: 0, records: [], waiting: new Set()};
+      this.#topics.set(name, topic);
+    }
+    return topic;
+  }
+}
+
+function frame({key, value}: StoredRecord): Buffer {
+  const keyBytes = Buffer.from(key);
+  const head = Buffer.alloc(LENGTH_BYTES + 1);
+  head.writeUInt32BE(1 + keyBytes.length + value.length, 0);
+  head.writeUInt8(keyBytes.length, LENGTH_BYTES);
+  return Buffer.concat([head, keyBytes, value]);
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,6 +12,10 @@
         find: /^@wisteriarun\/(standins|bench|demo)$/,
         replacement: root('./testing/$1/src/index.ts'),
       },
+      {
+        find: /^@wisteriarun\/platform$/,
+        replacement: root('./platform/src/index.ts'),
+      },
       {
         find: /^@wisteriarun\/([a-z-]+)$/,
         replacement: root('./packages/$1/src/index.ts'),
@@ -28,6 +32,7 @@
           name: 'parts',
           include: [
             'packages/*/test/**/*.test.ts',
+            'platform/test/**/*.test.ts',
             'testing/*/test/**/*.test.ts',
           ],
           exclude: [FAILURES],
