--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -4,6 +4,19 @@
 
 const root = path => fileURLToPath(new URL(`../${path}`, import.meta.url));
 
+/** Leaves out or puts off what a process that starts does not need. */
+const lighterStart = {
+  name: 'lighter-start',
+  setup: ({onResolve}) => {
+    onResolve({filter: /^undici$/}, () => ({
+      path: root('deploy/undici-pool.cjs'),
+    }));
+    onResolve({filter: /^hdr-histogram-js$/}, () => ({
+      path: root('deploy/hdr-lazy.cjs'),
+    }));
+  },
+};
+
 await build({
   entryPoints: [root('packages/gateway/src/main.ts')],
   outfile: root('target/wisteriarun.mjs'),
@@ -18,6 +31,7 @@
     '@wisteriarun/platform': root('platform/src/index.ts'),
     '@wisteriarun/runtime': root('packages/runtime/src/index.ts'),
   },
+  plugins: [lighterStart],
   banner: {
     // Bundled CommonJS modules load Node's own modules with require.
     js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
--- a/packages/core/src/types/bundle.ts
+++ b/packages/core/src/types/bundle.ts
@@ -1,5 +1,5 @@
 /** Schemas of the signed bundle that operators publish. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Largest number of shards that a service may have. */
 export const MAX_SHARDS = 65_536;
--- a/packages/core/src/types/events.ts
+++ b/packages/core/src/types/events.ts
@@ -1,5 +1,5 @@
 /** Schema of the time line's events. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One event of one process, as the operator port returns it. */
 export const timelineEventSchema = z.object({
--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -1,5 +1,5 @@
 /** What a gateway routes by: bundles, servers and the owners of key ranges. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Number of keys of a service that is divided by key. */
 export const KEY_COUNT = 65_536;
--- a/packages/core/src/types/lease.ts
+++ b/packages/core/src/types/lease.ts
@@ -1,5 +1,5 @@
 /** Schemas of the lease calls that servers accept. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Fencing token of a dispatcher; compared by term, then by sequence. */
 export const fenceSchema = z.strictObject({
--- a/packages/core/src/types/peer-messages.ts
+++ b/packages/core/src/types/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Schemas of the messages on the control link between entry VMs. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {fenceSchema} from './lease.js';
 import {stateImageSchema} from './records.js';
 
--- a/packages/core/src/types/records.ts
+++ b/packages/core/src/types/records.ts
@@ -1,5 +1,5 @@
 /** Schemas of the records on the deployment's log stream. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {signedBundleSchema} from './bundle.js';
 import {fenceSchema} from './lease.js';
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -129,7 +129,7 @@
         settings.drainMs * LEAVE_RATIO,
       ),
       loads: this.#loads,
-      meter: new RequestMeter(this.#metrics),
+      meter: new RequestMeter(this.#metrics, clock),
       log: new RequestLog(logger, clock),
       names: headers,
       clock,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -5,7 +5,7 @@
 import {nearestName} from '@wisteriarun/runtime';
 import {parse} from 'ini';
 import {Result} from 'true-myth';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MS_PER_S = 1_000;
 
--- a/packages/log/src/log-client.ts
+++ b/packages/log/src/log-client.ts
@@ -2,7 +2,7 @@
 import {ERRORS, type LogRecord, type StoredRecord} from '@wisteriarun/core';
 import {Result} from 'true-myth';
 import {Pool} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Connections to the log service; long polls hold one each. */
 const CONNECTIONS = 8;
--- a/packages/operator/src/views.ts
+++ b/packages/operator/src/views.ts
@@ -1,6 +1,6 @@
 /** Schemas of the operator port's answers. */
 import {timelineEventSchema} from '@wisteriarun/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Whether the process serves callers. */
 export const healthViewSchema = z.object({
--- a/packages/peer/src/link/handshake.ts
+++ b/packages/peer/src/link/handshake.ts
@@ -3,7 +3,7 @@
 import {ERRORS} from '@wisteriarun/core';
 import type {WisteriarunError} from '@wisteriarun/core';
 import {Result} from 'true-myth';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Version of the handshake; part of every proof. */
 const PROTOCOL = 'wisteriarun-link-1';
--- a/packages/runtime/src/settings-schema.ts
+++ b/packages/runtime/src/settings-schema.ts
@@ -1,6 +1,6 @@
 /** Schema of the settings file; descriptions state what a key allows. */
 import {createPublicKey} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Shown in place of the value of a secret key. */
 export const SECRET_PLACEHOLDER = '(secret)';
--- a/packages/vm-list/src/client.ts
+++ b/packages/vm-list/src/client.ts
@@ -3,7 +3,7 @@
 import type {WisteriarunError} from '@wisteriarun/core';
 import {Result} from 'true-myth';
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Largest answer that is read. */
 export const MAX_VM_LIST_BYTES = 8 * 1024 * 1024;
--- a/testing/standins/src/backend-server.ts
+++ b/testing/standins/src/backend-server.ts
@@ -1,7 +1,7 @@
 /** Stand-in for a backend server that owns keys exclusively. */
 import {createHash, randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   CANCEL_PATH_PREFIX,
   HEADERS,
--- a/testing/standins/src/caller-load-main.ts
+++ b/testing/standins/src/caller-load-main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /** Process of the callers; prints its report as JSON when it ends. */
 import {Command} from 'commander';
-import {z} from 'zod';
+import * as z from 'zod';
 import {CallerLoad} from './caller-load.js';
 import {HttpEndpoint, readJson, sendJson} from './utils/http-endpoint.js';
 import {parseNumber, runMain} from './utils/run-main.js';
--- a/testing/standins/src/log-service.ts
+++ b/testing/standins/src/log-service.ts
@@ -1,7 +1,7 @@
 /** Stand-in for the platform's append-only log service. */
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {StoredRecord} from '@wisteriarun/core';
 import {
   HttpEndpoint,
--- a/testing/standins/src/vm-list.ts
+++ b/testing/standins/src/vm-list.ts
@@ -1,6 +1,6 @@
 /** Stand-in for the platform's VM list. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   HttpEndpoint,
   readJson,
