Release the former owner at a takeover without raising its fence

Ruled out: the old assigner; it sent nothing after the election. Change: the hold of a former owner counts as certain, so that its release is enough.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,12 @@
       globals: {process: 'readonly', console: 'readonly'},
     },
   },
+  {
+    files: ['deploy/*'],
+    languageOptions: {
+      globals: {URL: 'readonly', module: 'writable', require: 'readonly'},
+    },
+  },
   {
     rules: {
       // The workspace resolves its own packages through npm workspaces.
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -175,15 +175,16 @@
     const isOver = former.resigned || former.assigner.vm === this.parts.vm;
     const authorityMs = isOver ? 0 : AUTHORITY_MS;
     for (const range of former.ranges) {
-      for (const server of [range.server, range.former]) {
-        if (server === null) continue;
-        const hold = {...range, server, bornMs: this.#bornOf(range, server)};
-        this.#ledger.extend(
-          hold,
-          holdMs + authorityMs,
-          nowMs,
-          !former.resigned,
-        );
+      if (range.server !== null) {
+        const hold = {...range, server: range.server};
+        this.#ledger.extend(hold, holdMs + authorityMs, nowMs, !isOver);
+      }
+      if (range.former !== null) {
+        // No grant follows the record that names a former owner, so that an
+        // answered release ends its hold for good.
+        const bornMs = directory.registry.find(range.former)?.bornMs ?? 0;
+        const hold = {...range, server: range.former, bornMs};
+        this.#ledger.extend(hold, holdMs, nowMs, false);
       }
     }
     for (const {id, bornMs} of directory.registry.servers.values()) {
@@ -212,11 +213,6 @@
     publisher.show(kept);
   }
 
-  #bornOf(range: RangeOwner, server: string): number {
-    if (server === range.server) return range.bornMs;
-    return this.parts.directory.registry.find(server)?.bornMs ?? 0;
-  }
-
   /** An address that another server uses now has no former one behind it. */
   #endFormerTenants(server: GatewayServer): void {
     // Anyone may write an entry; one of no known service proves nothing.
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -241,7 +241,8 @@
   }
 }
 
-async function freePorts(count: number): Promise<number[]> {
+/** Finds ports that nothing listens on. */
+export async function freePorts(count: number): Promise<number[]> {
   const servers = Array.from({length: count}, () => createServer());
   const ports = await Promise.all(
     servers.map(
