Keep assigning through a stop without the log, and ask for a table once

Change: a resignation waits for the log while grants are renewed; one request for the table at a time; after a stall, pending closes are handled first.

--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -6,6 +6,8 @@
 import type {Clock} from '@wisteriarun/runtime';
 import type {OwnerView} from '../ownership/owner-view.js';
 import type {BundleHolder} from '../store/bundle-holder.js';
+import {pendingEvents} from '../utils/stall-watch.js';
+import type {StallWatch} from '../utils/stall-watch.js';
 import {Attempt} from './attempt.js';
 import type {AttemptOutcome} from './attempt.js';
 import {readBody} from './caller-body.js';
@@ -31,6 +33,7 @@
   readonly loads: LoadMeter;
   readonly meter: RequestMeter;
   readonly names: GatewayHeaders;
+  readonly stalls: StallWatch;
   readonly clock: Clock;
   readonly log: RequestLog;
 }
@@ -114,6 +117,11 @@
       exchange.reject(404, 'no-route');
       return;
     }
+    if (this.parts.stalls.isStalled) {
+      // Callers that have left meanwhile are known only after this turn.
+      await pendingEvents();
+      if (exchange.isGone) return exchange.abandon('caller-gone');
+    }
     const job = this.#admit(exchange, route);
     if (job === null) return;
     const {maxBodyBytes} = bundles.bundle.limits;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import {LogFollower} from './store/log-follower.js';
 import {ServerDirectory} from './store/server-directory.js';
 import {delay} from './utils/delay.js';
+import {StallWatch} from './utils/stall-watch.js';
 
 /** Wait of a read of bundles; a silent connection is noticed after it. */
 const BUNDLE_WAIT_MS = 2_500;
@@ -70,6 +71,7 @@
   readonly #handler: RequestHandler;
   readonly #callers: CallerIngress;
   readonly #status: StatusIngress;
+  readonly #stalls: StallWatch;
   #reportTimer: NodeJS.Timeout | null = null;
   #isStopping = false;
 
@@ -82,6 +84,7 @@
     private readonly ports: GatewayPorts,
   ) {
     const {log, granter, codec, headers, clock, logger} = ports;
+    this.#stalls = new StallWatch(clock);
     this.#bundleFollower = new LogFollower(
       log,
       'bundles',
@@ -133,6 +136,7 @@
       log: new RequestLog(logger, clock),
       names: headers,
       clock,
+      stalls: this.#stalls,
     });
     this.#callers = new CallerIngress((request, response) =>
       this.#handler.handle(request, response).catch((error: unknown) => {
@@ -191,7 +195,8 @@
     const startedAtMs = clock.monotonicMs();
     const endAtMs = startedAtMs + this.settings.graceMs - GRACE_MARGIN_MS;
     this.#callers.leave();
-    await this.#coordinator.retire();
+    // Without the log a resignation may take longer than the grace period.
+    void this.#coordinator.retire();
     await delay(startedAtMs + LEAVE_MS - clock.monotonicMs());
     this.#callers.stopAccepting();
     while (this.#callers.inFlight > 0 && clock.monotonicMs() < endAtMs) {
@@ -208,6 +213,7 @@
   /** Closes everything at once. */
   close(): void {
     if (this.#reportTimer !== null) clearInterval(this.#reportTimer);
+    this.#stalls.close();
     this.#coordinator.close();
     this.#bundleFollower.close();
     this.#serverFollower.close();
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -82,6 +82,7 @@
   #tickedAtMs: number;
   #tickedWallMs: number;
   #isVerified = true;
+  #isResigning = false;
   #verifying: Promise<void> | null = null;
   #isClosed = false;
 
@@ -155,10 +156,23 @@
     this.#tick();
   }
 
-  /** Gives the term up and stops. */
-  async resign(): Promise<void> {
-    this.close();
-    await this.parts.publisher.resign();
+  /**
+   * Gives the term up once the log can take the resignation; until then the
+   * grants are renewed, since no other VM could be elected.
+   *
+   * @returns Whether the term is over.
+   */
+  async resign(): Promise<boolean> {
+    const {publisher, clock} = this.parts;
+    const silentMs = clock.monotonicMs() - publisher.appendedAtMs;
+    if (silentMs > LOG_LOST_MS) return false;
+    this.#isResigning = true;
+    const outcome = await publisher.resign();
+    const isOver = outcome === 'appended' || publisher.isSuperseded;
+    if (isOver) this.close();
+    // A resignation without an answer may still be appended: no grant follows.
+    else if (outcome === 'refused') this.#isResigning = false;
+    return isOver;
   }
 
   /** Stops without a word. */
@@ -265,6 +279,7 @@
     const {publisher, clock} = this.parts;
     return (
       this.#isVerified &&
+      !this.#isResigning &&
       !publisher.isSuperseded &&
       clock.monotonicMs() - publisher.appendedAtMs < AUTHORITY_MS
     );
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -46,6 +46,8 @@
   #heardAtMs: number;
   #heardOffset = -1;
   #isAssignerLogLost = false;
+  /** A whole table was asked for and has not come yet. */
+  #isResyncing = false;
   #isLoaded = false;
   #isClosed = false;
   #mayAssign = true;
@@ -101,14 +103,22 @@
     else this.#link?.send(report);
   }
 
-  /** Gives the assignment up and takes no part in elections any more. */
+  /**
+   * Gives the assignment up and takes no part in elections any more.
+   *
+   * @returns Resolves when another VM may be elected.
+   */
   async retire(): Promise<void> {
     this.#mayAssign = false;
-    const assigner = this.#assigner;
-    if (assigner === null) return;
-    this.#stopAssigning();
-    await assigner.resign();
-    this.parts.logger.info('assigner-resigned', {});
+    while (this.#assigner !== null && !this.#isClosed) {
+      const assigner = this.#assigner;
+      if (await assigner.resign()) {
+        if (this.#assigner === assigner) this.#stopAssigning();
+        this.parts.logger.info('assigner-resigned', {});
+      } else {
+        await delay(STEP_MS);
+      }
+    }
   }
 
   /** Stops. */
@@ -214,6 +224,7 @@
     if (isSame || nowMs - this.#linkTriedAtMs < RELINK_MS) return;
     this.#linkTriedAtMs = nowMs;
     this.#linkedTo = incarnation;
+    this.#isResyncing = false;
     this.#isAssignerLogLost = false;
     this.#link?.close();
     const {vm, zone, clock, logger} = this.parts;
@@ -231,15 +242,19 @@
     if (message.kind === 'heartbeat') {
       this.#isAssignerLogLost = message.isLogLost;
     }
-    if (message.kind === 'view') owners.replace(message.view);
-    if (message.kind === 'change' && !owners.change(message.view)) {
-      logger.info('view-gap', {
-        term: message.view.term,
-        revision: message.view.revision,
-      });
-      const {vm, zone} = this.parts;
-      this.#link?.send({kind: 'hello', vm, zone});
+    if (message.kind === 'view') {
+      this.#isResyncing = false;
+      owners.replace(message.view);
     }
+    const isGap = message.kind === 'change' && !owners.change(message.view);
+    if (!isGap || this.#isResyncing) return;
+    this.#isResyncing = true;
+    logger.info('view-gap', {
+      term: message.view.term,
+      revision: message.view.revision,
+    });
+    const {vm, zone} = this.parts;
+    this.#link?.send({kind: 'hello', vm, zone});
   }
 
   async #elect(placed: PlacedRecord | null): Promise<void> {
--- a/packages/gateway/src/ownership/ownership-log.ts
+++ b/packages/gateway/src/ownership/ownership-log.ts
@@ -79,7 +79,10 @@
     if (endOffset === null) {
       return Result.err(ERRORS.logUnavailable('end of the log not known'));
     }
-    let failure: WisteriarunError = ERRORS.logUnavailable('not tried');
+    let failure: WisteriarunError = ERRORS.appendUncertain(
+      KEY,
+      'not looked up',
+    );
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       if (this.#endOffset === null) {
         return Result.err(ERRORS.logUnavailable('end of the log not known'));
@@ -94,7 +97,7 @@
       if (answer.isErr) failure = answer.error;
       // The record may be there although its answer was lost.
       const newest = await this.refresh();
-      if (newest.isErr) return Result.err(newest.error);
+      if (newest.isErr) return Result.err(failure);
       if (newest.value?.record.id === record.id) {
         return this.#appended(record, newest.value.offset);
       }
--- a/packages/gateway/src/ownership/peer-server.ts
+++ b/packages/gateway/src/ownership/peer-server.ts
@@ -19,6 +19,8 @@
 export class PeerServer {
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** Sockets whose VM has asked for the table. */
+  readonly #linked = new Set<Socket>();
   readonly #messages = new Channel<PeerMessage>();
 
   /**
@@ -37,7 +39,7 @@
 
   /** Number of linked VMs. */
   get linkCount(): number {
-    return this.#sockets.size;
+    return this.#linked.size;
   }
 
   /**
@@ -60,13 +62,13 @@
    * @param message - The message.
    */
   broadcast(message: GatewayMessage): void {
-    if (this.#sockets.size === 0) return;
+    if (this.#linked.size === 0) return;
     const frame = encodeFrame(message);
     if (frame.isErr) {
       this.logger.error('frame-refused', {cause: describeError(frame.error)});
       return;
     }
-    for (const socket of this.#sockets) {
+    for (const socket of this.#linked) {
       if (socket.writableLength > MAX_BACKLOG_BYTES) socket.destroy();
       else socket.write(frame.value);
     }
@@ -106,12 +108,16 @@
           socket.destroy();
           return;
         }
+        if (message.data.kind === 'hello') this.#linked.add(socket);
         this.#messages.emit({message: message.data, reply});
       }
     });
     socket.on('error', error =>
       this.logger.debug('peer-link-error', {cause: error.message}),
     );
-    socket.on('close', () => this.#sockets.delete(socket));
+    socket.on('close', () => {
+      this.#sockets.delete(socket);
+      this.#linked.delete(socket);
+    });
   }
 }
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -19,6 +19,8 @@
 const PATIENCE_MS = 400;
 /** Pause between two tries of a call. */
 const RETRY_MS = 60;
+/** Pause while there is no server or the table cannot be appended. */
+const SETTLE_RETRY_MS = 200;
 /** Interval at which a waiting move looks again. */
 const POLL_MS = 50;
 /** Grants without an answer after which another server is chosen. */
@@ -285,7 +287,11 @@
           publisher.show([{...range, server: null, moving: false}]);
         }
         wanted = target?.id ?? null;
-        await delay(Math.min(POLL_MS, Math.max(1, freeAtMs - nowMs)));
+        await delay(
+          target === null
+            ? SETTLE_RETRY_MS
+            : Math.min(POLL_MS, Math.max(1, freeAtMs - nowMs)),
+        );
         continue;
       }
       const owner: RangeOwner = {
@@ -299,7 +305,7 @@
       publisher.decide(owner);
       isPersisted = isPersisted || (await publisher.persist());
       if (!isPersisted) {
-        await delay(POLL_MS);
+        await delay(SETTLE_RETRY_MS);
         continue;
       }
       if (await this.#tryGrant(owner, target, handover)) return target.id;
--- a/packages/gateway/src/ownership/table-publisher.ts
+++ b/packages/gateway/src/ownership/table-publisher.ts
@@ -19,6 +19,9 @@
   readonly logger: Logger;
 }
 
+/** How an append ended; `refused` when nothing was appended. */
+export type AppendResult = 'appended' | 'refused' | 'unknown';
+
 /** Table of one term, in memory, in the log and at the other VMs. */
 export class TablePublisher {
   /** Owners as decided; the published view may show less. */
@@ -104,9 +107,11 @@
    */
   persist(): Promise<boolean> {
     if (this.#appending === null) {
-      this.#appending = this.#append(false).finally(() => {
-        this.#appending = null;
-      });
+      this.#appending = this.#append(false)
+        .then(result => result === 'appended')
+        .finally(() => {
+          this.#appending = null;
+        });
       return this.#appending;
     }
     this.#queued ??= this.#appending.then(() => {
@@ -119,15 +124,15 @@
   /**
    * Gives the term up, so that another VM is elected without delay.
    *
-   * @returns Whether the log has the resignation.
+   * @returns Whether the log has the resignation; `unknown` when it may.
    */
-  async resign(): Promise<boolean> {
+  async resign(): Promise<AppendResult> {
     if (this.#appending !== null) await this.#appending;
     return await this.#append(true);
   }
 
-  async #append(resigned: boolean): Promise<boolean> {
-    if (this.#isSuperseded) return false;
+  async #append(resigned: boolean): Promise<AppendResult> {
+    if (this.#isSuperseded) return 'refused';
     const {log, clock, logger} = this.parts;
     this.#recordCount += 1;
     const answer = await log.append({
@@ -140,14 +145,14 @@
     });
     if (answer.isErr) {
       logger.warn('ownership-append-failed', {cause: answer.error.kind});
-      return false;
+      return answer.error.kind === 'log-unavailable' ? 'refused' : 'unknown';
     }
     if (answer.value.kind === 'superseded') {
       this.#isSuperseded = true;
-      return false;
+      return 'refused';
     }
     this.#appendedAtMs = clock.monotonicMs();
-    return true;
+    return 'appended';
   }
 
   #adoptWhole(): void {
--- a/packages/gateway/test/ownership.test.ts
+++ b/packages/gateway/test/ownership.test.ts
@@ -72,6 +72,27 @@
     }
   });
 
+  // An assigner that was stopped without the log gave its grants up although
+  // no other VM could be elected: no key was served until the log was back.
+  it('keep their keys when the assigner stops while the store is down', async () => {
+    await harness.addGateway('vm-1');
+    await harness.addGateway('vm-2');
+    harness.store.fault = 'silent';
+    await new Promise(resolve => setTimeout(resolve, 1_200));
+    const stopped = harness.gateways[0]!.gateway.stop();
+    await new Promise(resolve => setTimeout(resolve, 2_200));
+    for (const key of KEYS) {
+      const answer = await harness.call('GET', '/read/x', {key, gateway: 1});
+      expect(answer.status).toBe(200);
+    }
+    await stopped;
+    harness.store.fault = 'none';
+    await harness.until(async () => {
+      const answer = await harness.call('GET', '/read/x', {key: 1, gateway: 1});
+      return answer.status === 200;
+    });
+  });
+
   it('change after a loss only when the grants have lapsed', async () => {
     await harness.addGateway('vm-1');
     const lost = harness.members[0]!;
