Read the servers once for all VMs, and give hot keys to the fastest server

Change: the assigner passes server changes on over the link, and VMs read the log themselves when it is silent or its reads are old; the planner gives a key that fills its server to one that is 1.3 times faster; a server without room is no candidate, and another zone counts 6 ms for each KiB. Ruled out: faster balancing alone; a single key cannot be split.

--- a/packages/core/src/core/range/range-planner.ts
+++ b/packages/core/src/core/range/range-planner.ts
@@ -12,6 +12,10 @@
 const MAX_MOVES_PER_STEP = 16;
 /** A piece may exceed the wanted load by this share. */
 const PIECE_TOLERANCE = 0.15;
+/** Load of one key, as a share of its server, from which it needs a faster one. */
+const HOT_KEY_SHARE = 0.7;
+/** A hot key moves only to a server that is faster by this factor. */
+const HOT_KEY_GAIN = 1.3;
 /** Ranges of a server from which no more are split off to it. */
 const MAX_RANGES_PER_SERVER = 8;
 
@@ -130,6 +134,7 @@
     if (capacity === 0 || load === 0) return [];
     const mean = load / capacity;
     const limit = Math.max(mean * OVERLOAD_RATIO, IDLE_UTILIZATION);
+    this.#promoteHotKeys(states);
     const hot = states
       .filter(state => !state.isBusy && utilization(state) > limit)
       .sort((a, b) => utilization(b) - utilization(a));
@@ -143,6 +148,48 @@
     return this.#moves;
   }
 
+  /**
+   * A key cannot be split, so that one that fills its server goes to the
+   * fastest; rebalancing then takes the other keys away from that one.
+   */
+  #promoteHotKeys(states: readonly ServerState[]): void {
+    const hosts = new Set<ServerState>();
+    for (const state of states) {
+      if (this.#hotKey(state) !== null) hosts.add(state);
+    }
+    for (const state of hosts) {
+      const key = this.#hotKey(state);
+      if (state.isBusy || key === null) continue;
+      const target = states
+        .filter(other => !other.isBusy && !hosts.has(other))
+        .sort((a, b) => b.capacity - a.capacity)[0];
+      if (
+        target === undefined ||
+        target.capacity < state.capacity * HOT_KEY_GAIN
+      ) {
+        continue;
+      }
+      const moved = this.#load.at(key);
+      const piece = {fromKey: key, toKey: key};
+      state.load -= moved;
+      state.ranges = state.ranges.flatMap(range => subtractKeys(range, piece));
+      target.load += moved;
+      hosts.add(target);
+      this.#moves.push({...piece, from: state.id, to: target.id});
+    }
+  }
+
+  #hotKey(state: ServerState): number | null {
+    const limit = state.capacity * HOT_KEY_SHARE;
+    if (state.load < limit) return null;
+    for (const range of state.ranges) {
+      for (let key = range.fromKey; key <= range.toKey; key += 1) {
+        if (this.#load.at(key) >= limit) return key;
+      }
+    }
+    return null;
+  }
+
   /** Moves the piece that brings a server closest to the mean. */
   #relieve(state: ServerState, mean: number): boolean {
     const target = [...this.#states.values()]
--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -58,22 +58,6 @@
   readonly limits: CallerLimits;
 }
 
-/** A backend server as it describes itself. */
-export interface GatewayServer {
-  readonly id: string;
-  readonly address: string;
-  readonly service: string;
-  readonly zone: string;
-  readonly slots: number;
-  readonly isDraining: boolean;
-  /** How much longer the server is slow after its start. */
-  readonly warmupLeftMs: number;
-  /** Start of this incarnation, Unix time; 0 when unknown. */
-  readonly bornMs: number;
-  /** Counts the descriptions of one incarnation. */
-  readonly sequence: number;
-}
-
 /** Load that a server reported with an answer. */
 export interface ReportedLoad {
   readonly running: number;
@@ -145,6 +129,23 @@
 });
 export type OwnershipView = Readonly<z.infer<typeof ownershipViewSchema>>;
 
+/** A backend server as it describes itself. */
+export const gatewayServerSchema = z.object({
+  id: z.string(),
+  address: z.string(),
+  service: z.string(),
+  zone: z.string(),
+  slots: z.int().min(1),
+  isDraining: z.boolean(),
+  /** How much longer the server is slow after its start. */
+  warmupLeftMs: z.number(),
+  /** Start of this incarnation, Unix time; 0 when unknown. */
+  bornMs: z.number(),
+  /** Counts the descriptions of one incarnation. */
+  sequence: z.int(),
+});
+export type GatewayServer = Readonly<z.infer<typeof gatewayServerSchema>>;
+
 /** Load of the keys of one service since the last report. */
 export const keyLoadSchema = z.object({
   service: z.string(),
@@ -175,7 +176,15 @@
     term: z.int(),
     /** True when the assigner cannot append and another VM should. */
     isLogLost: z.boolean(),
+    /** Time since the assigner last read the log of servers. */
+    serversAgeMs: z.number(),
   }),
+  /** All servers that the assigner knows. */
+  z.object({kind: z.literal('servers'), servers: z.array(gatewayServerSchema)}),
+  /** A server that changed. */
+  z.object({kind: z.literal('server'), server: gatewayServerSchema}),
+  /** A server that is gone. */
+  z.object({kind: z.literal('server-gone'), id: z.string()}),
   z.object({kind: z.literal('view'), view: ownershipViewSchema}),
   z.object({kind: z.literal('change'), view: ownershipViewSchema}),
 ]);
--- a/packages/core/test/range/range-planner.test.ts
+++ b/packages/core/test/range/range-planner.test.ts
@@ -134,6 +134,26 @@
     expect(table.find(SERVICE, 10)?.server).toBe('s0');
   });
 
+  it('gives a key that fills its server to the fastest one, alone', () => {
+    const members = servers(6).map(({id}) => ({
+      id,
+      capacity: id === 's4' ? 5_100 : 2_100,
+    }));
+    const table = evenTable(6);
+    const load = loadMap(10, 1, 5_000);
+    for (let step = 0; step < 6; step += 1) {
+      applyMoves(
+        table,
+        new RangePlanner(load, members, table.ofService(SERVICE)),
+      );
+    }
+    expect(table.find(SERVICE, 10)?.server).toBe('s4');
+    const others = table
+      .ofServer('s4')
+      .reduce((sum, range) => sum + load.sum(range), -load.at(10));
+    expect(others).toBeLessThan(300);
+  });
+
   it('plans moves that do not overlap and name the present owner', () => {
     fc.assert(
       fc.property(
--- a/packages/gateway/src/entry/server-choice.ts
+++ b/packages/gateway/src/entry/server-choice.ts
@@ -1,5 +1,9 @@
 /** Chooses the server of a request, or refuses it early. */
-import type {GatewayServer, GatewayService} from '@wisteriarun/core';
+import type {
+  GatewayServer,
+  GatewayService,
+  ServerLoadView,
+} from '@wisteriarun/core';
 import type {ServerDirectory} from '../store/server-directory.js';
 import type {OwnerView} from '../ownership/owner-view.js';
 import type {PooledServer, ServerPool} from './server-pool.js';
@@ -9,13 +13,13 @@
 /** The same for all other requests. */
 const COMMON_DEPTH = 3.2;
 /** Shortest time after which a refused caller should come back. */
-const MIN_RETRY_AFTER_MS = 20;
+const MIN_RETRY_AFTER_MS = 80;
 /** Time after which a refused caller may find another owner. */
 const OWNERLESS_RETRY_AFTER_MS = 150;
 /** Longest wait for keys that change hands. */
 const MAX_MOVE_WAIT_MS = 300;
 /** Wait that a transfer to another zone is worth, for each KiB of the body. */
-const REMOTE_MS_PER_KIB = 3;
+const REMOTE_MS_PER_KIB = 6;
 
 /** What matters about a request for the choice. */
 export interface ChoiceInput {
@@ -128,6 +132,7 @@
   /** Expected time until the answer, with a surcharge for other zones. */
   #costMs(server: GatewayServer, input: ChoiceInput, nowMs: number): number {
     const {load} = this.pool.of(server, nowMs);
+    const waitMs = load.waitMs(nowMs);
     const remoteMs =
       server.zone === this.zone
         ? 0
@@ -135,7 +140,9 @@
     const suspectMs = load.isSuspect(nowMs) ? input.remainingMs : 0;
     // The share of busy slots breaks ties between servers without a queue.
     const shareMs = (load.requests(nowMs) / load.slots) * load.workMs * 0.5;
-    return load.waitMs(nowMs) + load.workMs + shareMs + remoteMs + suspectMs;
+    const lateMs =
+      this.#refusal(load, input, nowMs) === null ? 0 : input.remainingMs;
+    return waitMs + load.workMs + shareMs + remoteMs + suspectMs + lateMs;
   }
 
   #admit(server: GatewayServer, input: ChoiceInput, nowMs: number): Choice {
@@ -144,16 +151,22 @@
     if (load.isSuspect(nowMs)) {
       return refuse('no-server', OWNERLESS_RETRY_AFTER_MS);
     }
+    const cause = this.#refusal(load, input, nowMs);
+    if (cause === null) return {kind: 'server', server, pooled};
     const waitMs = load.waitMs(nowMs);
+    return refuse(cause, Math.max(MIN_RETRY_AFTER_MS, waitMs / 2));
+  }
+
+  /** Why a server should not get the request now; null when it should. */
+  #refusal(
+    load: ServerLoadView,
+    input: ChoiceInput,
+    nowMs: number,
+  ): 'overload' | 'too-late' | null {
     const depth = input.isUrgent ? URGENT_DEPTH : COMMON_DEPTH;
-    const isFull = load.requests(nowMs) >= depth * load.slots;
-    if (isFull) {
-      return refuse('overload', Math.max(MIN_RETRY_AFTER_MS, waitMs / 2));
-    }
-    if (waitMs + load.workMs / 2 > input.remainingMs) {
-      return refuse('too-late', Math.max(MIN_RETRY_AFTER_MS, waitMs / 2));
-    }
-    return {kind: 'server', server, pooled};
+    if (load.requests(nowMs) >= depth * load.slots) return 'overload';
+    const needsMs = load.waitMs(nowMs) + load.workMs / 2;
+    return needsMs > input.remainingMs ? 'too-late' : null;
   }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -88,14 +88,19 @@
     this.#bundleFollower = new LogFollower(
       log,
       'bundles',
-      {waitMs: BUNDLE_WAIT_MS, pauseMs: () => 0},
+      {waitMs: BUNDLE_WAIT_MS, pauseMs: () => 0, isNeeded: () => true},
       clock,
       logger,
     );
     this.#serverFollower = new LogFollower(
       log,
       'servers',
-      {waitMs: 0, pauseMs: () => this.#directoryPauseMs()},
+      {
+        waitMs: 0,
+        pauseMs: () => this.#directoryPauseMs(),
+        isNeeded: () =>
+          this.#coordinator.serversAgeMs > this.#directoryPauseMs(),
+      },
       clock,
       logger,
     );
@@ -118,6 +123,12 @@
       logger,
       holdMs: Math.min(HOLD_MS, settings.holdMaxMs),
       vm: settings.vm.id,
+      serversAgeMs: () => {
+        const {contactAtMs} = this.#serverFollower;
+        return contactAtMs === null
+          ? Infinity
+          : clock.monotonicMs() - contactAtMs;
+      },
       zone: settings.vm.zone,
       peerAddress: `${settings.vm.host}:${settings.peerPort}`,
     });
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -17,7 +17,7 @@
 } from '@wisteriarun/core';
 import type {Clock, Logger} from '@wisteriarun/runtime';
 import type {BundleHolder} from '../store/bundle-holder.js';
-import type {ServerDirectory} from '../store/server-directory.js';
+import type {ServerChange, ServerDirectory} from '../store/server-directory.js';
 import type {PeerServer} from './peer-server.js';
 import {delay} from '../utils/delay.js';
 import {cutRange, RangeMover} from './range-mover.js';
@@ -63,6 +63,8 @@
   readonly holdMs: number;
   /** Id of this VM. */
   readonly vm: string;
+  /** Time since this VM last read the log of servers. */
+  serversAgeMs(): number;
 }
 
 /** Decides owners, renews their grants and answers for both. */
@@ -145,14 +147,21 @@
     }
   }
 
-  /** Notes that a server appeared, changed or went. */
-  serversChanged(server: GatewayServer | null): void {
-    if (server !== null) {
+  /**
+   * Notes that a server changed or went.
+   *
+   * @param change - The change.
+   */
+  serversChanged(change: ServerChange): void {
+    const {clock, peers} = this.parts;
+    peers.broadcast(change);
+    if (change.kind === 'server') {
+      const {server} = change;
       this.#addresses.set(server.id, server.address);
       this.#ledger.restarted(server.id, server.bornMs);
       this.#endFormerTenants(server);
     }
-    this.#serversChangedAtMs = this.parts.clock.monotonicMs();
+    this.#serversChangedAtMs = clock.monotonicMs();
     this.#tick();
   }
 
@@ -290,7 +299,12 @@
     if (nowMs - this.#beatAtMs >= HEARTBEAT_MS) {
       this.#beatAtMs = nowMs;
       const isLogLost = nowMs - publisher.appendedAtMs > LOG_LOST_MS;
-      peers.broadcast({kind: 'heartbeat', term: publisher.term, isLogLost});
+      peers.broadcast({
+        kind: 'heartbeat',
+        term: publisher.term,
+        isLogLost,
+        serversAgeMs: this.parts.serversAgeMs(),
+      });
     }
     const isDue = nowMs - publisher.appendedAtMs >= APPEND_INTERVAL_MS;
     if (isDue && nowMs - this.#appendTriedAtMs >= APPEND_RETRY_MS) {
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -4,6 +4,7 @@
   AssignerContact,
   GatewayMessage,
   OwnershipRecord,
+  OwnershipView,
 } from '@wisteriarun/core';
 import {delay} from '../utils/delay.js';
 import {Assigner} from './assigner.js';
@@ -51,6 +52,7 @@
   #isLoaded = false;
   #isClosed = false;
   #mayAssign = true;
+  #serversReadAtMs = -Infinity;
   readonly #spreadMs = Math.random() * ELECTION_SPREAD_MS;
 
   /**
@@ -69,10 +71,12 @@
       if (message.kind === 'hello') {
         const view = this.#publisher?.view;
         if (view !== undefined) reply({kind: 'view', view});
+        const servers = [...parts.directory.registry.servers.values()];
+        reply({kind: 'servers', servers});
       }
     });
-    void parts.directory.changes.stream.observe(server =>
-      this.#assigner?.serversChanged(server),
+    void parts.directory.changes.stream.observe(change =>
+      this.#assigner?.serversChanged(change),
     );
   }
 
@@ -83,9 +87,13 @@
     return this.#assigner !== null;
   }
 
-  /** Whether this VM has news from the assigner or the log. */
-  get isLinked(): boolean {
-    return this.isAssigner || this.#isLinkAlive();
+  /**
+   * Time since the assigner read the servers that it passes on to this VM;
+   * infinite without a link.
+   */
+  get serversAgeMs(): number {
+    if (this.isAssigner || !this.#isLinkAlive()) return Infinity;
+    return this.parts.clock.monotonicMs() - this.#serversReadAtMs;
   }
 
   /** Starts to take part. */
@@ -238,22 +246,40 @@
   }
 
   #receive(message: GatewayMessage): void {
-    const {owners, logger} = this.parts;
-    if (message.kind === 'heartbeat') {
-      this.#isAssignerLogLost = message.isLogLost;
-    }
-    if (message.kind === 'view') {
-      this.#isResyncing = false;
-      owners.replace(message.view);
+    const {owners, directory} = this.parts;
+    switch (message.kind) {
+      case 'heartbeat':
+        this.#isAssignerLogLost = message.isLogLost;
+        this.#serversReadAtMs =
+          this.parts.clock.monotonicMs() - message.serversAgeMs;
+        break;
+      case 'servers':
+        for (const server of message.servers) {
+          directory.adopt({kind: 'server', server});
+        }
+        break;
+      case 'server':
+      case 'server-gone':
+        directory.adopt(message);
+        break;
+      case 'view':
+        this.#isResyncing = false;
+        owners.replace(message.view);
+        break;
+      case 'change':
+        if (!owners.change(message.view)) this.#resync(message.view);
+        break;
+      default:
+        break;
     }
-    const isGap = message.kind === 'change' && !owners.change(message.view);
-    if (!isGap || this.#isResyncing) return;
+  }
+
+  /** Asks for the whole table, once, after a change that does not fit. */
+  #resync({term, revision}: OwnershipView): void {
+    if (this.#isResyncing) return;
     this.#isResyncing = true;
-    logger.info('view-gap', {
-      term: message.view.term,
-      revision: message.view.revision,
-    });
-    const {vm, zone} = this.parts;
+    const {vm, zone, logger} = this.parts;
+    logger.info('view-gap', {term, revision});
     this.#link?.send({kind: 'hello', vm, zone});
   }
 
--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -9,12 +9,17 @@
 const FIRST_BACKOFF_MS = 50;
 const LONGEST_BACKOFF_MS = 400;
 
+/** Interval at which a read that is not needed is considered again. */
+const PUT_OFF_MS = 200;
+
 /** How a log is read. */
 export interface FollowRhythm {
   /** Longest wait of one read for a record; 0 when records always come. */
   readonly waitMs: number;
   /** Pause between two reads. */
   pauseMs(): number;
+  /** Whether the next read is needed; otherwise it is put off. */
+  isNeeded(): boolean;
 }
 
 /** What a read brought. */
@@ -76,6 +81,10 @@
   async #run(): Promise<void> {
     let backoffMs = FIRST_BACKOFF_MS;
     while (!this.#closed) {
+      if (this.#offset !== null && !this.rhythm.isNeeded()) {
+        await delay(PUT_OFF_MS);
+        continue;
+      }
       const isOk = await this.#step();
       if (isOk) {
         backoffMs = FIRST_BACKOFF_MS;
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -11,10 +11,15 @@
  */
 const RETURN_GRACE_MS = 2_000;
 
+/** A change of the registry. */
+export type ServerChange =
+  | {readonly kind: 'server'; readonly server: GatewayServer}
+  | {readonly kind: 'server-gone'; readonly id: string};
+
 /** Keeps the registry up to date with the log of servers. */
 export class ServerDirectory {
   readonly #registry = new ServerRegistry();
-  readonly #changes = new Channel<GatewayServer | null>();
+  readonly #changes = new Channel<ServerChange>();
   readonly #removals = new Map<string, NodeJS.Timeout>();
   readonly #leavingSinceMs = new Map<string, number>();
   #isLoaded = false;
@@ -46,8 +51,8 @@
     return this.#registry;
   }
 
-  /** Changed servers; null after removals. */
-  get changes(): Channel<GatewayServer | null> {
+  /** Changed and removed servers. */
+  get changes(): Channel<ServerChange> {
     return this.#changes;
   }
 
@@ -62,6 +67,16 @@
     return sinceMs === undefined ? 0 : this.clock.monotonicMs() - sinceMs;
   }
 
+  /**
+   * Adopts a change that another VM has read.
+   *
+   * @param change - The change.
+   */
+  adopt(change: ServerChange): void {
+    if (change.kind === 'server') this.#describe(change.server);
+    else if (this.#registry.find(change.id) !== null) this.#drop(change.id);
+  }
+
   /** Stops all timers. */
   close(): void {
     for (const timer of this.#removals.values()) clearTimeout(timer);
@@ -79,7 +94,6 @@
           if (!listed.has(id)) this.#remove(id);
         }
         this.#isLoaded = true;
-        this.#changes.emit(null);
         break;
       }
       case 'records':
@@ -107,9 +121,14 @@
       this.logger.debug('server-malformed', {server: key, detail});
       return this.#registry.find(key) !== null;
     }
+    this.#describe(decoded.value);
+    return true;
+  }
+
+  #describe(server: GatewayServer): void {
+    const key = server.id;
     this.#keep(key);
-    const server = decoded.value;
-    if (this.#registry.describe(server) !== 'changed') return true;
+    if (this.#registry.describe(server) !== 'changed') return;
     if (!server.isDraining) this.#leavingSinceMs.delete(key);
     else if (!this.#leavingSinceMs.has(key)) {
       this.#leavingSinceMs.set(key, this.clock.monotonicMs());
@@ -121,8 +140,7 @@
       draining: server.isDraining,
       born_ms: server.bornMs,
     });
-    this.#changes.emit(server);
-    return true;
+    this.#changes.emit({kind: 'server', server});
   }
 
   #keep(id: string): void {
@@ -152,6 +170,6 @@
     this.#registry.remove(id);
     this.#leavingSinceMs.delete(id);
     this.logger.info('server-gone', {server: id});
-    this.#changes.emit(null);
+    this.#changes.emit({kind: 'server-gone', id});
   }
 }
