Handle late closes after a stall, and go on after an own late record

Change: a stall lasts 100 ms beyond the timer that notices it, and is logged; a late record of the same process moves the expected end on.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -84,7 +84,7 @@
     private readonly ports: GatewayPorts,
   ) {
     const {log, granter, codec, headers, clock, logger} = ports;
-    this.#stalls = new StallWatch(clock);
+    this.#stalls = new StallWatch(clock, ports.logger);
     this.#bundleFollower = new LogFollower(
       log,
       'bundles',
--- a/packages/gateway/src/ownership/ownership-log.ts
+++ b/packages/gateway/src/ownership/ownership-log.ts
@@ -75,7 +75,7 @@
     record: OwnershipRecord,
   ): Promise<Result<OwnershipAppend, WisteriarunError>> {
     const value = codec.encode(record);
-    const endOffset = this.#endOffset;
+    let endOffset = this.#endOffset;
     if (endOffset === null) {
       return Result.err(ERRORS.logUnavailable('end of the log not known'));
     }
@@ -101,10 +101,14 @@
       if (newest.value?.record.id === record.id) {
         return this.#appended(record, newest.value.offset);
       }
-      // The end that the record was decided on must not move on with the log.
-      if (this.#endOffset !== endOffset) {
+      if (this.#endOffset === endOffset) continue;
+      // The end that the record was decided on moves on only with a late record
+      // of this process: one of another VM ends the term.
+      const {incarnation} = record.assigner;
+      if (newest.value?.record.assigner.incarnation !== incarnation) {
         return Result.ok({kind: 'superseded'});
       }
+      endOffset = this.#endOffset;
     }
     return Result.err(failure);
   }
--- a/packages/gateway/test/ownership-log.test.ts
+++ b/packages/gateway/test/ownership-log.test.ts
@@ -79,4 +79,29 @@
     expect(answer.isOk && answer.value.kind).toBe('superseded');
     expect(store.end(TOPIC)).toBe(1);
   });
+
+  // An own record that took effect seconds after its answer was lost made the
+  // assigner give its term up.
+  it('goes on after an own record that was appended late', async () => {
+    const inner = logs[0]!;
+    let heldUp: (() => Promise<unknown>) | null = null;
+    const late: KeyedLog = {
+      newest: log => inner.newest(log),
+      read: (log, offset, waitMs) => inner.read(log, offset, waitMs),
+      appendAt: async (...call) => {
+        if (heldUp !== null) return inner.appendAt(...call);
+        heldUp = () => inner.appendAt(...call);
+        return Result.err(ERRORS.logUnavailable('thought to be refused'));
+      },
+      close: () => inner.close(),
+    };
+    const log = new OwnershipLog(late, logger);
+    await log.refresh();
+    expect((await log.append(record('vm-1', 'a'))).isErr).toBe(true);
+    await heldUp!();
+    const answer = await log.append(record('vm-1', 'b'));
+    expect(answer.isOk && answer.value).toEqual({kind: 'appended', offset: 1});
+    const other = await two.append(record('vm-2', 'a'));
+    expect(other.isOk && other.value.kind).toBe('superseded');
+  });
 });
--- /dev/null
+++ b/packages/gateway/test/stall-watch.test.ts
@@ -0,0 +1,53 @@
+import {createLogger} from '@wisteriarun/runtime';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {StallWatch} from '../src/utils/stall-watch.js';
+
+const logger = createLogger({
+  level: 'error',
+  process: 'test',
+  zone: 'a',
+});
+
+describe('the stall watch', () => {
+  let nowMs = 0;
+  const clock = {monotonicMs: () => nowMs, wallMs: () => nowMs};
+  let watch: StallWatch;
+
+  const pass = (ms: number) => {
+    nowMs += ms;
+    vi.advanceTimersByTime(50);
+  };
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+    nowMs = 0;
+    watch = new StallWatch(clock, logger);
+  });
+
+  afterEach(() => {
+    watch.close();
+    vi.useRealTimers();
+  });
+
+  it('is calm while the loop turns', () => {
+    for (let turn = 0; turn < 20; turn += 1) {
+      pass(50);
+      expect(watch.isStalled).toBe(false);
+    }
+  });
+
+  it('notices a stall before its own timer has run', () => {
+    nowMs += 500;
+    expect(watch.isStalled).toBe(true);
+  });
+
+  // Timers run before pending reads, so that the reads after a stall looked
+  // calm, and requests of callers that had left were sent on.
+  it('still shows a stall to the events after its own timer', () => {
+    pass(2_000);
+    expect(watch.isStalled).toBe(true);
+    pass(50);
+    pass(60);
+    expect(watch.isStalled).toBe(false);
+  });
+});
