--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -1,25 +1,19 @@
 /** Assigns the key ranges of all services, while this VM is elected. */
-import {
-  HoldLedger,
-  initialRanges,
-  KeyLoadMap,
-  RangePlanner,
-  ServerSpeeds,
-} from '@wisteriarun/core';
+import {HoldLedger, initialRanges, RangePlanner} from '@wisteriarun/core';
 import type {
   GatewayMessage,
   GatewayServer,
   GatewayService,
   KeyGranter,
   OwnershipRecord,
-  PlannedServer,
   RangeOwner,
 } from '@wisteriarun/core';
 import type {Clock, Logger} from '@wisteriarun/runtime';
 import type {BundleHolder} from '../store/bundle-holder.js';
 import type {ServerChange, ServerDirectory} from '../store/server-directory.js';
 import type {PeerServer} from './peer-server.js';
-import {delay} from '../utils/delay.js';
+import {Authority, AUTHORITY_MS} from './authority.js';
+import {LoadBook} from './load-book.js';
 import {cutRange, RangeMover} from './range-mover.js';
 import {Renewals} from './renewals.js';
 import {ServerReach} from './server-reach.js';
@@ -27,29 +21,18 @@
 
 /** Interval of the assigner's checks. */
 const TICK_MS = 100;
-/** A gap between two checks that shows a pause of this process. */
-const PAUSE_MS = 700;
 /** Interval of heartbeats to the other VMs. */
 const HEARTBEAT_MS = 300;
 /** Interval at which the table is appended although nothing changed. */
 const APPEND_INTERVAL_MS = 600;
-/** Time after the last append for which grants may still be renewed. */
-export const AUTHORITY_MS = 15_000;
 /** Interval at which moves for balance are planned. */
 const BALANCE_INTERVAL_MS = 250;
-/** Time after which a sample of load counts half. */
-const LOAD_HALF_LIFE_MS = 1_500;
 /** Time without a new server after which the first ranges are given out. */
 const SETTLED_MS = 600;
-/** Share of its later speed that a server has after its start. */
-const COLD_SPEED = 0.5;
-/** Pause between two appends that should show whether this VM is elected. */
-const VERIFY_PAUSE_MS = 100;
 /** Time without an append after which the other VMs are told so. */
 const LOG_LOST_MS = 1_000;
 /** Pause after an append that failed. */
 const APPEND_RETRY_MS = 200;
-const MS_PER_S = 1_000;
 
 /** Parts that the assigner works with. */
 export interface AssignerParts {
@@ -71,8 +54,8 @@
 export class Assigner {
   readonly #ledger = new HoldLedger();
   readonly #reach = new ServerReach();
-  readonly #speeds = new ServerSpeeds();
-  readonly #loads = new Map<string, KeyLoadMap>();
+  readonly #loads = new LoadBook();
+  readonly #authority: Authority;
   readonly #addresses = new Map<string, string>();
   readonly #mover: RangeMover;
   readonly #renewals: Renewals;
@@ -81,11 +64,6 @@
   #beatAtMs = 0;
   #appendTriedAtMs = 0;
   #balancedAtMs = 0;
-  #tickedAtMs: number;
-  #tickedWallMs: number;
-  #isVerified = true;
-  #isResigning = false;
-  #verifying: Promise<void> | null = null;
   #isClosed = false;
 
   /**
@@ -103,8 +81,7 @@
     const {publisher, clock, logger, holdMs, granter, directory} = parts;
     const nowMs = clock.monotonicMs();
     this.#serversChangedAtMs = nowMs;
-    this.#tickedAtMs = nowMs;
-    this.#tickedWallMs = clock.wallMs();
+    this.#authority = new Authority(publisher, clock, logger);
     this.#mover = new RangeMover({
       publisher,
       granter,
@@ -116,7 +93,7 @@
       usable: server => this.#usable(server),
       addressOf: server => this.#addresses.get(server) ?? null,
       place: range => this.#place(range),
-      mayGrant: () => this.#mayGrant(),
+      mayGrant: () => this.#authority.mayGrant,
       quiesce: server => this.#renewals.quiesce(server),
     });
     this.#renewals = new Renewals(this.#mover, clock, logger, holdMs);
@@ -134,17 +111,7 @@
    * @param report - Report of a VM.
    */
   addLoad(report: Extract<GatewayMessage, {kind: 'load'}>): void {
-    const nowMs = this.parts.clock.monotonicMs();
-    for (const {service, samples} of report.loads) {
-      const load = this.#load(service);
-      for (let at = 0; at + 1 < samples.length; at += 2) {
-        const key = samples[at]!;
-        if (Number.isInteger(key)) load.add(key, samples[at + 1]!);
-      }
-    }
-    for (const {server, expectedMs, actualMs} of report.paces) {
-      this.#speeds.add(server, expectedMs, actualMs, nowMs);
-    }
+    this.#loads.add(report, this.parts.clock.monotonicMs());
   }
 
   /**
@@ -175,12 +142,12 @@
     const {publisher, clock} = this.parts;
     const silentMs = clock.monotonicMs() - publisher.appendedAtMs;
     if (silentMs > LOG_LOST_MS) return false;
-    this.#isResigning = true;
+    this.#authority.suspend(true);
     const outcome = await publisher.resign();
     const isOver = outcome === 'appended' || publisher.isSuperseded;
     if (isOver) this.close();
     // A resignation without an answer may still be appended: no grant follows.
-    else if (outcome === 'refused') this.#isResigning = false;
+    else if (outcome === 'refused') this.#authority.suspend(false);
     return isOver;
   }
 
@@ -188,6 +155,7 @@
   close(): void {
     this.#isClosed = true;
     clearInterval(this.#timer);
+    this.#authority.close();
     this.#mover.close();
   }
 
@@ -259,9 +227,9 @@
       return;
     }
     const nowMs = clock.monotonicMs();
-    this.#detectPause(nowMs);
+    this.#authority.check();
     this.#beat(nowMs);
-    if (!this.#mayGrant()) return;
+    if (!this.#authority.mayGrant) return;
     for (const service of this.parts.bundles.bundle?.services ?? []) {
       if (service.isKeyed) this.#start(service, nowMs);
     }
@@ -270,31 +238,6 @@
     this.#balance(nowMs);
   }
 
-  /** After a pause another VM may have been elected. */
-  #detectPause(nowMs: number): void {
-    const {clock, logger} = this.parts;
-    const wallMs = clock.wallMs();
-    const gapMs = Math.max(
-      nowMs - this.#tickedAtMs,
-      Math.abs(wallMs - this.#tickedWallMs),
-    );
-    this.#tickedAtMs = nowMs;
-    this.#tickedWallMs = wallMs;
-    if (gapMs < PAUSE_MS || !this.#isVerified) return;
-    logger.warn('pause-detected', {gap_ms: Math.round(gapMs)});
-    void this.#verify();
-  }
-
-  #mayGrant(): boolean {
-    const {publisher, clock} = this.parts;
-    return (
-      this.#isVerified &&
-      !this.#isResigning &&
-      !publisher.isSuperseded &&
-      clock.monotonicMs() - publisher.appendedAtMs < AUTHORITY_MS
-    );
-  }
-
   #beat(nowMs: number): void {
     const {publisher, peers} = this.parts;
     if (nowMs - this.#beatAtMs >= HEARTBEAT_MS) {
@@ -323,7 +266,7 @@
       .ofService(service.name)
       .filter(server => !server.isDraining);
     if (servers.length === 0) return;
-    const planned = servers.map(server => this.#planned(server));
+    const planned = servers.map(server => this.#loads.planned(server));
     for (const {fromKey, toKey, to} of initialRanges(planned)) {
       this.#mover.establish({
         service: service.name,
@@ -408,41 +351,21 @@
     const {publisher} = this.parts;
     const present = publisher.table.find(range.service, range.fromKey);
     if (present?.fence !== range.fence || present.moving) return;
-    void this.#verify().then(() => {
+    void this.#authority.verify().then(() => {
       const later = publisher.table.find(range.service, range.fromKey);
-      if (this.#mayGrant() && later === present) {
+      if (this.#authority.mayGrant && later === present) {
         this.#mover.establish(present);
       }
     });
   }
 
-  /** Resolves when the log has shown whether this VM is still elected. */
-  #verify(): Promise<void> {
-    this.#isVerified = false;
-    this.#verifying ??= this.#appendUntilKnown().finally(() => {
-      this.#verifying = null;
-    });
-    return this.#verifying;
-  }
-
-  async #appendUntilKnown(): Promise<void> {
-    const {publisher} = this.parts;
-    while (!this.#isClosed && !publisher.isSuperseded) {
-      if (await publisher.persist()) {
-        this.#isVerified = true;
-        return;
-      }
-      await delay(VERIFY_PAUSE_MS);
-    }
-  }
-
   #balance(nowMs: number): void {
     if (nowMs - this.#balancedAtMs < BALANCE_INTERVAL_MS) return;
     this.#balancedAtMs = nowMs;
     const {publisher, bundles} = this.parts;
     if (nowMs - publisher.appendedAtMs > 2 * APPEND_INTERVAL_MS) return;
-    for (const [name, load] of this.#loads) {
-      load.decay(nowMs);
+    for (const name of this.#loads.services) {
+      this.#loads.of(name).decay(nowMs);
       if (bundles.service(name)?.isKeyed !== true) continue;
       for (const move of this.#planner(name).rebalance()) {
         const parts = [...publisher.table.overlapping(name, move)];
@@ -462,20 +385,14 @@
       .filter(
         server => !server.isDraining && !this.#reach.isLost(server.id, nowMs),
       )
-      .map(server => this.#planned(server));
+      .map(server => this.#loads.planned(server));
     return new RangePlanner(
-      this.#load(service),
+      this.#loads.of(service),
       servers,
       publisher.table.ofService(service),
     );
   }
 
-  #planned(server: GatewayServer): PlannedServer {
-    const speed = this.#speeds.of(server.id);
-    const warm = server.warmupLeftMs > 0 ? COLD_SPEED : 1;
-    return {id: server.id, capacity: server.slots * MS_PER_S * speed * warm};
-  }
-
   #usable(server: string): GatewayServer | null {
     const found = this.parts.directory.registry.find(server);
     return found === null || found.isDraining ? null : found;
@@ -485,13 +402,4 @@
     const [move] = this.#planner(range.service).place([range]);
     return move === undefined ? null : this.#usable(move.to);
   }
-
-  #load(service: string): KeyLoadMap {
-    let load = this.#loads.get(service);
-    if (load === undefined) {
-      load = new KeyLoadMap(LOAD_HALF_LIFE_MS);
-      this.#loads.set(service, load);
-    }
-    return load;
-  }
 }
