Remove state and wrappers of the gateway that nothing uses

The count of flows was never read, a start of failures never null, one cause never given, and parseWaitMs only called core's parseCount. No behaviour changed. Checked: build, lint and formatter of the package, its ownership, request, caller and lifecycle tests.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -66,8 +66,7 @@
   | 'wrong-answer'
   | 'unsigned-answer'
   | 'timeout'
-  | 'caller-gone'
-  | 'cut-off';
+  | 'caller-gone';
 
 class AttemptAborted extends Error {}
 
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -1,8 +1,7 @@
 /** Serves the requests of callers. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {RetryBudget} from '@wisteriarun/core';
+import {parseCount, RetryBudget, singleHeader} from '@wisteriarun/core';
 import type {GatewayHeaders, GatewayRoute} from '@wisteriarun/core';
-import {singleHeader} from '@wisteriarun/core';
 import type {Clock} from '@wisteriarun/runtime';
 import type {OwnerView} from '../ownership/owner-view.js';
 import type {BundleHolder} from '../store/bundle-holder.js';
@@ -15,7 +14,7 @@
 import type {LoadMeter} from './load-meter.js';
 import type {RequestLog} from './request-log.js';
 import type {RequestMeter} from './request-meter.js';
-import {parseKey, parseWaitMs, requestHeaders} from './request-headers.js';
+import {parseKey, requestHeaders} from './request-headers.js';
 import type {ServerChoice} from './server-choice.js';
 
 /** Below this rest no server can answer in time. */
@@ -155,7 +154,7 @@
       }
       loads.arrived(serviceName, route.kind, key);
     }
-    const statedMs = parseWaitMs(singleHeader(headers, names.deadline));
+    const statedMs = parseCount(singleHeader(headers, names.deadline));
     const waitMs = Math.min(statedMs ?? Infinity, route.timeoutMs);
     exchange.route = route;
     return {
--- a/packages/gateway/src/entry/request-headers.ts
+++ b/packages/gateway/src/entry/request-headers.ts
@@ -14,16 +14,6 @@
   return key === null || key >= KEY_COUNT ? null : key;
 }
 
-/**
- * Parses the time that a caller waits.
- *
- * @param text - Value of the header.
- * @returns Milliseconds, or null when the caller states none.
- */
-export function parseWaitMs(text: string | null): number | null {
-  return parseCount(text);
-}
-
 /**
  * Builds the headers that a server gets.
  *
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -55,7 +55,6 @@
 /** Runs one flow for each range that changes hands. */
 export class RangeMover {
   #fenceCount = 0;
-  #flowCount = 0;
   #isClosed = false;
 
   /**
@@ -63,11 +62,6 @@
    */
   constructor(private readonly parts: MoverParts) {}
 
-  /** Number of ranges that are changing hands. */
-  get flowCount(): number {
-    return this.#flowCount;
-  }
-
   /**
    * Issues a fence above all earlier ones.
    *
@@ -92,37 +86,42 @@
    * @param reason - For the log.
    */
   move(range: RangeOwner, to: string | null, reason: string): void {
-    if (!this.#isFree(range)) return;
-    void this.#flow(async () => {
-      const {publisher, clock, logger, usable} = this.parts;
-      const startedAtMs = clock.monotonicMs();
-      const planned: RangeOwner = {
-        ...range,
-        server: to,
-        former: range.server,
-        bornMs: (to === null ? null : usable(to)?.bornMs) ?? 0,
-        fence: this.nextFence(),
-        moving: true,
-      };
-      publisher.decide(planned);
-      // The record names both servers, so that a later assigner knows which of
-      // them may hold the keys.
-      if (range.server !== null && !(await publisher.persist())) {
-        publisher.decide({...range, moving: false});
-        return;
-      }
-      const handover = await this.#release(range);
-      const owner = await this.#settle(planned, handover);
-      logger.info('range-moved', {
-        service: range.service,
-        from_key: range.fromKey,
-        to_key: range.toKey,
-        from: range.server,
-        to: owner,
-        reason,
-        handover: handover !== null,
-        took_ms: Math.round(clock.monotonicMs() - startedAtMs),
-      });
+    if (this.#isFree(range)) void this.#move(range, to, reason);
+  }
+
+  async #move(
+    range: RangeOwner,
+    to: string | null,
+    reason: string,
+  ): Promise<void> {
+    const {publisher, clock, logger, usable} = this.parts;
+    const startedAtMs = clock.monotonicMs();
+    const planned: RangeOwner = {
+      ...range,
+      server: to,
+      former: range.server,
+      bornMs: (to === null ? null : usable(to)?.bornMs) ?? 0,
+      fence: this.nextFence(),
+      moving: true,
+    };
+    publisher.decide(planned);
+    // The record names both servers, so that a later assigner knows which of
+    // them may hold the keys.
+    if (range.server !== null && !(await publisher.persist())) {
+      publisher.decide({...range, moving: false});
+      return;
+    }
+    const handover = await this.#release(range);
+    const owner = await this.#settle(planned, handover);
+    logger.info('range-moved', {
+      service: range.service,
+      from_key: range.fromKey,
+      to_key: range.toKey,
+      from: range.server,
+      to: owner,
+      reason,
+      handover: handover !== null,
+      took_ms: Math.round(clock.monotonicMs() - startedAtMs),
     });
   }
 
@@ -136,9 +135,7 @@
     if (!this.#isFree(range)) return;
     const moving = {...range, moving: true};
     this.parts.publisher.decide(moving);
-    void this.#flow(async () => {
-      await this.#settle(moving, null);
-    });
+    void this.#settle(moving, null);
   }
 
   /**
@@ -192,15 +189,6 @@
     return true;
   }
 
-  async #flow(run: () => Promise<void>): Promise<void> {
-    this.#flowCount += 1;
-    try {
-      await run();
-    } finally {
-      this.#flowCount -= 1;
-    }
-  }
-
   /** Ends when the owner has released the keys or can hold them no longer. */
   async #release(range: RangeOwner): Promise<string | null> {
     const {server} = range;
--- a/packages/gateway/src/ownership/server-reach.ts
+++ b/packages/gateway/src/ownership/server-reach.ts
@@ -6,7 +6,7 @@
 const AVOID_MS = 2_000;
 
 interface Reach {
-  failingSinceMs: number | null;
+  readonly failingSinceMs: number;
   avoidUntilMs: number;
 }
 
@@ -35,7 +35,6 @@
       this.#servers.set(server, {failingSinceMs: nowMs, avoidUntilMs: 0});
       return;
     }
-    reach.failingSinceMs ??= nowMs;
     if (nowMs - reach.failingSinceMs >= GIVE_UP_MS) {
       reach.avoidUntilMs = nowMs + AVOID_MS;
     }
