Do not let a cancelled attempt end the process

An attempt that was cancelled reset its connection and then aborted the request; when undici saw the closed connection in the middle of an answer without a length, it took the close for the end of the answer and asserted that the request was not aborted. Change: a cancelled attempt resets its connection and leaves the request to undici. A measurement of processor time against a bare forwarder is added.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -134,9 +134,11 @@
     const controller = this.#controller;
     this.#fail(cause);
     // A reset drops bytes that the network holds up, so that they cannot reach
-    // the server after the caller has gone.
-    this.#socket?.resetAndDestroy();
-    controller.abort(new AttemptAborted(cause));
+    // the server after the caller has gone. The request ends when undici sees
+    // the closed connection: aborted before, it would be asserted not to be when
+    // a partial answer without a length ends with the connection.
+    if (this.#socket !== null) this.#socket.resetAndDestroy();
+    else controller.abort(new AttemptAborted(cause));
   }
 
   useSocket(socket: Socket): void {
--- /dev/null
+++ b/packages/gateway/test/attempt.test.ts
@@ -0,0 +1,83 @@
+import {PLATFORM_HEADERS} from '@wisteriarun/platform';
+import {Pool} from 'undici';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {Attempt} from '../src/entry/attempt.js';
+import {randomSource, SpoilingServer} from './spoiling-server.js';
+
+const SEED = 587;
+const FUZZ_MS = 4_000;
+const WORKERS = 8;
+
+const sink = {begin() {}, write: () => true, end() {}, cut() {}};
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+describe('attempts at a server that spoils its answers', () => {
+  const random = randomSource(SEED);
+  let server: SpoilingServer;
+  let pool: Pool;
+  let uncaught: unknown[] = [];
+  const collect = (error: unknown) => uncaught.push(error);
+
+  beforeEach(async () => {
+    uncaught = [];
+    process.on('uncaughtException', collect);
+    server = new SpoilingServer(random);
+    const address = await server.start();
+    pool = new Pool(`http://${address}`, {connections: 6, pipelining: 1});
+  });
+
+  afterEach(async () => {
+    process.off('uncaughtException', collect);
+    await pool.destroy();
+    await server.close();
+  });
+
+  function attempt(id: string, body: Buffer | null, timeoutMs: number) {
+    const headers = {host: 'h', 'request-id': id};
+    const method = body === null ? 'GET' : 'POST';
+    return new Attempt(
+      pool,
+      {method, path: '/x', headers, body, id, timeoutMs},
+      PLATFORM_HEADERS,
+      sink,
+    );
+  }
+
+  // hunt-587b-11 of austral-gw: undici's assertion that the request is not
+  // aborted ended the process when its connection closed.
+  it('can be cancelled while an answer without a length arrives', async () => {
+    server.always = 'unframed';
+    const started = attempt('id-1', null, 1_000);
+    await pause(100);
+    started.cancel('caller-gone');
+    expect(await started.outcome).toEqual({
+      kind: 'unknown',
+      cause: 'caller-gone',
+    });
+    while (server.connections > 0) await pause(5);
+    await pause(50);
+    expect(uncaught).toEqual([]);
+  });
+
+  it('end in time, whatever comes back, and never end the process', async () => {
+    const endAtMs = performance.now() + FUZZ_MS;
+    let sent = 0;
+    const work = async () => {
+      while (performance.now() < endAtMs) {
+        sent += 1;
+        const bytes = Math.floor(random() * 80_000);
+        const body = random() < 0.4 ? Buffer.alloc(bytes) : null;
+        const started = attempt(`id-${sent}`, body, 5 + random() * 60);
+        if (random() < 0.2) {
+          setTimeout(() => started.cancel('caller-gone'), random() * 8);
+        }
+        const outcome = await started.outcome;
+        if (outcome.kind === 'answered') expect(outcome.status).toBe(200);
+        if (random() < 0.3) await pause(random() * 5);
+      }
+    };
+    await Promise.all(Array.from({length: WORKERS}, work));
+    expect(uncaught).toEqual([]);
+    expect(sent).toBeGreaterThan(500);
+  });
+});
--- /dev/null
+++ b/testing/bench/src/gateway/bare-forwarder-main.ts
@@ -0,0 +1,39 @@
+#!/usr/bin/env node
+/**
+ * Baseline of the gateway's processor time: passes requests on to one server
+ * with the same two libraries, and decides nothing.
+ *
+ * Arguments: the port to listen on and the server's address, host:port.
+ */
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Pool} from 'undici';
+
+const [port = '', server = ''] = process.argv.slice(2);
+const pool = new Pool(`http://${server}`, {connections: 24, pipelining: 1});
+
+async function forward(
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const {connection: _, ...headers} = request.headers;
+  const answer = await pool.request({
+    method: request.method as 'GET',
+    path: request.url ?? '/',
+    headers,
+    body: chunks.length === 0 ? null : Buffer.concat(chunks),
+  });
+  const body = Buffer.from(await answer.body.arrayBuffer());
+  const {connection: _closed, ...passed} = answer.headers;
+  response.writeHead(answer.statusCode, {
+    ...passed,
+    'content-length': body.length,
+  });
+  response.end(body);
+}
+
+createServer((request, response) => {
+  forward(request, response).catch(() => response.destroy());
+}).listen(Number(port), '127.0.0.1');
