--- a/testing/bench/src/gateway/bare-forwarder-main.ts
+++ b/testing/bench/src/gateway/bare-forwarder-main.ts
@@ -18,7 +18,8 @@
 ): Promise<void> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
-  const {connection: _, ...headers} = request.headers;
+  const headers = {...request.headers};
+  delete headers.connection;
   const answer = await pool.request({
     method: request.method as 'GET',
     path: request.url ?? '/',
@@ -26,7 +27,8 @@
     body: chunks.length === 0 ? null : Buffer.concat(chunks),
   });
   const body = Buffer.from(await answer.body.arrayBuffer());
-  const {connection: _closed, ...passed} = answer.headers;
+  const passed = {...answer.headers};
+  delete passed['connection'];
   response.writeHead(answer.statusCode, {
     ...passed,
     'content-length': body.length,
