Refuse a request that has crashed three servers

Change: a request whose connection was lost is a suspect of the server; when the log of servers shows within 6 s that the server restarted or vanished without leaving, its count goes up. VMs share the counts through the assigner. From the third crash on it is refused with 503 and no time to come back; any answer clears it.

--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -1,5 +1,6 @@
 /** What a gateway routes by: bundles, servers and the owners of key ranges. */
 import * as z from 'zod';
+import {crashRecordSchema} from './peer-messages.js';
 
 /** Number of keys of a service that is divided by key. */
 export const KEY_COUNT = 65_536;
@@ -189,6 +190,8 @@
   z.object({kind: z.literal('server'), server: gatewayServerSchema}),
   /** A server that is gone. */
   z.object({kind: z.literal('server-gone'), id: z.string()}),
+  /** Requests that crashed servers; a count of 0 clears one. */
+  z.object({kind: z.literal('crashes'), records: z.array(crashRecordSchema)}),
   z.object({kind: z.literal('view'), view: ownershipViewSchema}),
   z.object({kind: z.literal('change'), view: ownershipViewSchema}),
 ]);
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -1,7 +1,12 @@
 /** Serves the requests of callers. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {parseCount, RetryBudget, singleHeader} from '@wisteriarun/core';
-import type {GatewayHeaders, GatewayRoute} from '@wisteriarun/core';
+import type {
+  CrashRecord,
+  FingerprintParts,
+  GatewayHeaders,
+  GatewayRoute,
+} from '@wisteriarun/core';
 import type {Clock} from '@wisteriarun/runtime';
 import type {OwnerView} from '../ownership/owner-view.js';
 import type {BundleHolder} from '../store/bundle-holder.js';
@@ -10,6 +15,7 @@
 import {Attempt} from './attempt.js';
 import type {AttemptOutcome} from './attempt.js';
 import {readBody} from './caller-body.js';
+import type {CrashWatch} from './crash-watch.js';
 import {Exchange} from './exchange.js';
 import type {LoadMeter} from './load-meter.js';
 import type {RequestLog} from './request-log.js';
@@ -35,6 +41,9 @@
   readonly stalls: StallWatch;
   readonly clock: Clock;
   readonly log: RequestLog;
+  readonly crashes: CrashWatch;
+  /** Tells the other VMs about requests that crashed servers. */
+  shareCrashes(records: readonly CrashRecord[]): void;
 }
 
 /** Budgets of repeated requests, by service. */
@@ -169,9 +178,12 @@
   }
 
   async #serve(job: Job): Promise<void> {
-    const {clock, bundles, choice, owners, loads} = this.parts;
+    const {clock, bundles, choice, owners, loads, crashes} = this.parts;
     const {exchange, route, serviceName, key} = job;
     const isUrgent = this.#isUrgent(route);
+    if (crashes.isRefused(() => crashParts(job), clock.monotonicMs())) {
+      return exchange.refuse('crashes-servers', null);
+    }
     for (;;) {
       if (exchange.isGone) return exchange.abandon('caller-gone');
       const nowMs = clock.monotonicMs();
@@ -215,7 +227,7 @@
     }: Extract<ReturnType<ServerChoice['choose']>, {kind: 'server'}>,
     remainingMs: number,
   ): Promise<AttemptOutcome> {
-    const {names, clock, loads} = this.parts;
+    const {names, clock, loads, crashes, shareCrashes} = this.parts;
     const {exchange, route, serviceName} = job;
     const {request} = exchange;
     const startedAtMs = clock.monotonicMs();
@@ -254,11 +266,15 @@
       if (load.answered(outcome.load, tookMs, nowMs)) {
         loads.ran(serviceName, route.kind, server.id, tookMs);
       }
+      const cleared = crashes.answered(() => crashParts(job));
+      if (cleared !== null) shareCrashes([cleared]);
     } else if (outcome.kind === 'not-run') {
       if (outcome.cause === 'not-sent') load.failed(nowMs);
       else if (outcome.load !== null) load.reported(outcome.load, nowMs);
     } else if (outcome.cause === 'timeout') {
       load.failed(nowMs);
+    } else if (outcome.cause === 'connection-lost') {
+      crashes.lost(server, crashParts(job), nowMs);
     }
     return outcome;
   }
@@ -359,3 +375,16 @@
     return route.kind !== 'safe' || route.priority === 0;
   }
 }
+
+/** What a repetition of a request by its caller has in common with it. */
+function crashParts({exchange, serviceName, key}: Job): FingerprintParts {
+  const {method = '', url = '', socket} = exchange.request;
+  return {
+    idempotencyKey: null,
+    service: serviceName,
+    key: `${key ?? ''} ${socket.remoteAddress ?? ''}`,
+    method,
+    path: url,
+    lengthBytes: exchange.bodyBytes,
+  };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 } from '@wisteriarun/core';
 import {Metrics} from '@wisteriarun/runtime';
 import type {Clock, Logger} from '@wisteriarun/runtime';
+import {CrashWatch} from './entry/crash-watch.js';
 import {CallerIngress, StatusIngress} from './entry/ingress.js';
 import {LoadMeter} from './entry/load-meter.js';
 import {RequestHandler} from './entry/request-handler.js';
@@ -79,6 +80,7 @@
   readonly #callers: CallerIngress;
   readonly #status: StatusIngress;
   readonly #stalls: StallWatch;
+  readonly #crashes: CrashWatch;
   #reportTimer: NodeJS.Timeout | null = null;
   #isStopping = false;
 
@@ -92,6 +94,7 @@
   ) {
     const {log, granter, codec, headers, clock, logger} = ports;
     this.#stalls = new StallWatch(clock, ports.logger);
+    this.#crashes = new CrashWatch(logger);
     this.#bundleFollower = new LogFollower(
       log,
       'bundles',
@@ -127,6 +130,7 @@
     this.#coordinator = new Coordinator({
       log: new OwnershipLog(log, logger),
       owners: this.#owners,
+      crashes: this.#crashes,
       directory: this.#directory,
       bundles: this.#bundles,
       granter,
@@ -159,6 +163,8 @@
       names: headers,
       clock,
       stalls: this.#stalls,
+      crashes: this.#crashes,
+      shareCrashes: records => this.#coordinator.shareCrashes(records),
     });
     this.#callers = new CallerIngress((request, response) =>
       this.#handler.handle(request, response).catch((error: unknown) => {
@@ -171,6 +177,11 @@
       () => this.isReady,
       () => this.#metrics.render(),
     );
+    void this.#directory.changes.stream.observe(change =>
+      this.#coordinator.shareCrashes(
+        this.#crashes.serverChanged(change, clock.monotonicMs()),
+      ),
+    );
     void this.#bundles.changes.stream.observe(({limits}) =>
       this.#callers.setLimits(limits),
     );
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -2,10 +2,12 @@
 import {randomUUID} from 'node:crypto';
 import type {
   AssignerContact,
+  CrashRecord,
   GatewayMessage,
   OwnershipRecord,
   OwnershipView,
 } from '@wisteriarun/core';
+import type {CrashWatch} from '../entry/crash-watch.js';
 import {delay} from '../utils/delay.js';
 import {Assigner} from './assigner.js';
 import type {AssignerParts, ReadState} from './assigner.js';
@@ -40,6 +42,7 @@
 export interface CoordinatorParts extends Omit<AssignerParts, 'publisher'> {
   readonly log: OwnershipLog;
   readonly owners: OwnerView;
+  readonly crashes: CrashWatch;
   readonly zone: string;
   readonly peerAddress: string;
 }
@@ -77,11 +80,17 @@
     void parts.peers.messages.stream.observe(({message, reply}) => {
       if (this.#assigner === null) return;
       if (message.kind === 'load') this.#assigner.addLoad(message);
+      if (message.kind === 'crashes') {
+        parts.crashes.merge(message.records, parts.clock.monotonicMs());
+        parts.peers.broadcast(message);
+      }
       if (message.kind === 'hello') {
         const view = this.#publisher?.view;
         if (view !== undefined) reply({kind: 'view', view});
         const servers = [...parts.directory.registry.servers.values()];
         reply({kind: 'servers', servers});
+        const records = parts.crashes.export(parts.clock.monotonicMs());
+        if (records.length > 0) reply({kind: 'crashes', records});
       }
     });
     void parts.directory.changes.stream.observe(change =>
@@ -126,6 +135,18 @@
     else this.#link?.send(report);
   }
 
+  /**
+   * Tells the other VMs about requests that crashed servers.
+   *
+   * @param records - New records; dropped while there is no link.
+   */
+  shareCrashes(records: readonly CrashRecord[]): void {
+    if (records.length === 0) return;
+    const message: GatewayMessage = {kind: 'crashes', records: [...records]};
+    if (this.#assigner !== null) this.parts.peers.broadcast(message);
+    else this.#link?.send(message);
+  }
+
   /**
    * Gives the assignment up and takes no part in elections any more.
    *
@@ -262,12 +283,12 @@
   }
 
   #receive(message: GatewayMessage): void {
-    const {owners, directory} = this.parts;
+    const {owners, directory, crashes, clock} = this.parts;
     switch (message.kind) {
       case 'heartbeat':
         this.#isAssignerLogLost = message.isLogLost;
         this.#assignerReads = message;
-        this.#assignerReadsAtMs = this.parts.clock.monotonicMs();
+        this.#assignerReadsAtMs = clock.monotonicMs();
         break;
       case 'servers':
         for (const server of message.servers) {
@@ -278,6 +299,9 @@
       case 'server-gone':
         directory.adopt(message);
         break;
+      case 'crashes':
+        crashes.merge(message.records, clock.monotonicMs());
+        break;
       case 'view':
         this.#isResyncing = false;
         owners.replace(message.view);
--- a/packages/gateway/test/caller-gone.test.ts
+++ b/packages/gateway/test/caller-gone.test.ts
@@ -4,6 +4,7 @@
 import {PLATFORM_HEADERS} from '@wisteriarun/platform';
 import {createLogger, Metrics, SystemClock} from '@wisteriarun/runtime';
 import {describe, expect, it} from 'vitest';
+import {CrashWatch} from '../src/entry/crash-watch.js';
 import {LoadMeter} from '../src/entry/load-meter.js';
 import {RequestHandler} from '../src/entry/request-handler.js';
 import type {HandlerParts} from '../src/entry/request-handler.js';
@@ -53,6 +54,7 @@
     log: new RequestLog(logger, clock),
     names: PLATFORM_HEADERS,
     stalls: {isStalled},
+    crashes: new CrashWatch(logger),
     clock,
   } as unknown as HandlerParts;
   const request = Object.assign(new EventEmitter(), {
--- /dev/null
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -0,0 +1,113 @@
+import type {GatewayServer} from '@wisteriarun/core';
+import {createLogger} from '@wisteriarun/runtime';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {CrashWatch} from '../src/entry/crash-watch.js';
+
+const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+
+function server(id: string, more: Partial<GatewayServer> = {}): GatewayServer {
+  return {
+    id,
+    address: '10.0.0.1:80',
+    service: 'records',
+    zone: 'a',
+    slots: 3,
+    isDraining: false,
+    warmupLeftMs: 0,
+    bornMs: 1_000,
+    sequence: 1,
+    ...more,
+  };
+}
+
+const request = (path: string) => ({
+  idempotencyKey: null,
+  service: 'records',
+  key: '7 10.9.0.1',
+  method: 'POST',
+  path,
+  lengthBytes: 3,
+});
+
+// BUDGET: a request that crashed three servers must not reach a fourth.
+describe('a request that is lost when servers crash', () => {
+  let watch: CrashWatch;
+
+  beforeEach(() => (watch = new CrashWatch(logger)));
+
+  /** The request is lost at a server, which is found restarted after that. */
+  function crash(id: string, path: string, atMs: number) {
+    watch.lost(server(id), request(path), atMs);
+    return watch.serverChanged(
+      {kind: 'server', server: server(id, {bornMs: 2_000})},
+      atMs + 1_000,
+    );
+  }
+  const isRefused = (path: string, nowMs = 10_000) =>
+    watch.isRefused(() => request(path), nowMs);
+
+  it('is refused after the third crash, and no other request is', () => {
+    for (const [index, id] of ['s1', 's2', 's3'].entries()) {
+      expect(isRefused('/poison')).toBe(false);
+      crash(id, '/poison', index * 2_000);
+    }
+    expect(isRefused('/poison')).toBe(true);
+    expect(isRefused('/other')).toBe(false);
+  });
+
+  it('counts servers that vanish', () => {
+    for (const id of ['s1', 's2', 's3']) {
+      watch.lost(server(id), request('/poison'), 0);
+      watch.serverChanged({kind: 'server-gone', id}, 3_000);
+    }
+    expect(isRefused('/poison')).toBe(true);
+  });
+
+  it('is served again after an answer', () => {
+    crash('s1', '/read', 0);
+    crash('s2', '/read', 0);
+    expect(watch.answered(() => request('/read'))?.count).toBe(0);
+    crash('s3', '/read', 0);
+    expect(isRefused('/read')).toBe(false);
+  });
+
+  it.each([
+    ['the server only changed', server('s1', {slots: 4})],
+    ['the server leaves', server('s1', {isDraining: true})],
+  ])('is not counted when %s', (_, changed) => {
+    for (let times = 0; times < 3; times += 1) {
+      watch.lost(server('s1'), request('/read'), 0);
+      watch.serverChanged({kind: 'server', server: changed}, 500);
+    }
+    expect(isRefused('/read')).toBe(false);
+  });
+
+  it('is not counted when the server left before it was removed', () => {
+    for (const id of ['s1', 's2', 's3']) {
+      const leaving = server(id, {isDraining: true});
+      watch.serverChanged({kind: 'server', server: leaving}, 0);
+      watch.lost(leaving, request('/read'), 1_000);
+      watch.serverChanged({kind: 'server-gone', id}, 2_000);
+    }
+    expect(isRefused('/read')).toBe(false);
+  });
+
+  it('is not counted when the crash comes long after', () => {
+    for (const id of ['s1', 's2', 's3']) {
+      watch.lost(server(id), request('/read'), 0);
+      watch.serverChanged({kind: 'server-gone', id}, 7_000);
+    }
+    expect(isRefused('/read')).toBe(false);
+  });
+
+  it('is refused at a VM that learns of the crashes', () => {
+    const other = new CrashWatch(logger);
+    for (const id of ['s1', 's2', 's3']) {
+      other.merge(crash(id, '/poison', 0), 1_000);
+    }
+    const parts = () => request('/poison');
+    expect(other.isRefused(parts, 2_000)).toBe(true);
+    other.merge([watch.answered(parts)!], 2_000);
+    expect(other.isRefused(parts, 2_000)).toBe(false);
+  });
+});
