Show operators the state of gateways, and explain requests from logs

Cause: wisteriactl knew the daemon's operator port only; what a gateway believed could be read from its logs alone, by hand. Metrics are answered at /metrics alone.

--- a/packages/core/src/types/index.ts
+++ b/packages/core/src/types/index.ts
@@ -10,3 +10,4 @@
 export * from './timing.js';
 export * from './gateway.js';
 export * from './gateway-ports.js';
+export * from './gateway-state.js';
--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -1,4 +1,5 @@
 /** Commands and options of wisteriactl. */
+import {KEY_COUNT} from '@wisteriarun/core';
 import {Command, CommanderError, InvalidArgumentError} from 'commander';
 import {
   checkBundleFile,
@@ -19,8 +20,12 @@
 import {explainKey} from './commands/explain.js';
 import {showOwners} from './commands/owners.js';
 import type {OwnersOptions} from './commands/owners.js';
+import {explainRequest, showLogTimeline} from './commands/logs.js';
+import type {LogTimelineOptions} from './commands/logs.js';
 import {showTimeline} from './commands/timeline.js';
 import type {TimelineOptions} from './commands/timeline.js';
+import {showVmDrains, showVmOwner, showVmStatus} from './commands/vm.js';
+import type {VmOptions} from './commands/vm.js';
 import {addConnectionOptions, UsageError} from './connection.js';
 import type {ConnectionOptions} from './connection.js';
 import type {CliEnvironment} from './environment.js';
@@ -110,9 +115,75 @@
         setExitCode(await explainKey(service, key, options, environment));
       },
     );
+  addVmCommands(program, environment, setExitCode);
+  addLogCommands(program, environment, setExitCode);
   return program;
 }
 
+/** Commands for gateways on a platform, which have no operator port. */
+function addVmCommands(
+  program: Command,
+  environment: CliEnvironment,
+  setExitCode: (code: number) => void,
+): void {
+  const vm = program.command('vm').description('gateways on a platform');
+  const add = (name: string, description: string) =>
+    vm
+      .command(name)
+      .description(description)
+      .requiredOption('--at <host:port...>', 'metrics addresses of the VMs')
+      .option('--json', 'print JSON');
+  add('status', 'show the bundle in force, the assigner and ages').action(
+    async (options: VmOptions) => {
+      setExitCode(await showVmStatus(options, environment));
+    },
+  );
+  add('drains', 'show servers that leave and what they still own').action(
+    async (options: VmOptions) => {
+      setExitCode(await showVmDrains(options, environment));
+    },
+  );
+  add('owner', 'show who owns a key and what would move it')
+    .argument('<service>', 'name of the service')
+    .argument('<key>', 'key, 0 to 65535', parseKey)
+    .action(async (service: string, key: number, options: VmOptions) => {
+      setExitCode(await showVmOwner(service, key, options, environment));
+    });
+}
+
+/** Commands that read the log files of gateways. */
+function addLogCommands(
+  program: Command,
+  environment: CliEnvironment,
+  setExitCode: (code: number) => void,
+): void {
+  const logs = program.command('logs').description('log files of all VMs');
+  logs
+    .command('timeline <files...>')
+    .description('merge the events of log files, requests left out')
+    .option('--event <name>', 'only this event, for example request')
+    .option('--server <id>', 'only events of this server')
+    .option('--key <key>', 'only events of this key', parseKey)
+    .option('--from <time>', 'earliest time, ISO 8601', parseTime)
+    .option('--to <time>', 'latest time, ISO 8601', parseTime)
+    .action((files: string[], options: LogTimelineOptions) => {
+      setExitCode(showLogTimeline(files, options, environment));
+    });
+  logs
+    .command('explain <id> <files...>')
+    .description('show how a request ended and what led to it')
+    .action((id: string, files: string[]) => {
+      setExitCode(explainRequest(id, files, environment));
+    });
+}
+
+function parseKey(text: string): number {
+  if (!/^\d{1,5}$/.test(text) || Number(text) >= KEY_COUNT) {
+    throw new InvalidArgumentError('Expected a key from 0 to 65535.');
+  }
+  return Number(text);
+}
+
 function addBundleCommands(
   bundle: Command,
   environment: CliEnvironment,
--- /dev/null
+++ b/packages/ctl/src/commands/logs.ts
@@ -0,0 +1,109 @@
+/** `logs`: a time line and explanations out of the log files of all VMs. */
+import type {CliEnvironment} from '../environment.js';
+import {EXIT_CODES} from '../exit-codes.js';
+import {readLogFiles, showFields} from '../log-lines.js';
+import type {LogLine} from '../log-lines.js';
+import {tellStories} from '../request-story.js';
+import {escapeText, formatTable, formatTime} from '../table.js';
+
+/** Options of `logs timeline`. */
+export interface LogTimelineOptions {
+  readonly event?: string;
+  readonly server?: string;
+  readonly key?: number;
+  readonly from?: number;
+  readonly to?: number;
+}
+
+const SERVER_FIELDS = ['server', 'from', 'to'];
+
+function isWanted(line: LogLine, options: LogTimelineOptions): boolean {
+  const {event, server, key, from = -Infinity, to = Infinity} = options;
+  const {fields} = line;
+  const fromKey = Number(fields['from_key'] ?? fields['key']);
+  const toKey = Number(fields['to_key'] ?? fields['key']);
+  return (
+    line.timeMs >= from &&
+    line.timeMs <= to &&
+    // Requests are many; they are shown when they are asked for.
+    (event === undefined ? line.event !== 'request' : line.event === event) &&
+    (server === undefined ||
+      SERVER_FIELDS.some(name => fields[name] === server)) &&
+    (key === undefined || (fromKey <= key && key <= toKey))
+  );
+}
+
+function read(
+  files: readonly string[],
+  environment: CliEnvironment,
+): LogLine[] | null {
+  try {
+    return readLogFiles(files);
+  } catch (error) {
+    const cause = error instanceof Error ? error.message : 'unknown cause';
+    environment.err(`error: ${cause}\n`);
+    return null;
+  }
+}
+
+function show(lines: readonly LogLine[]): string {
+  return formatTable(
+    ['TIME', 'PROCESS', 'EVENT', 'FIELDS'],
+    lines.map(line => [
+      formatTime(line.timeMs),
+      line.process,
+      line.event,
+      showFields(line),
+    ]),
+  );
+}
+
+/**
+ * Merges the events of log files.
+ *
+ * @param files - Paths of the files.
+ * @param options - Parsed options.
+ * @param environment - Process to print to.
+ * @returns The exit code.
+ */
+export function showLogTimeline(
+  files: readonly string[],
+  options: LogTimelineOptions,
+  environment: CliEnvironment,
+): number {
+  const lines = read(files, environment);
+  if (lines === null) return EXIT_CODES.invalid;
+  environment.out(show(lines.filter(line => isWanted(line, options))));
+  return EXIT_CODES.ok;
+}
+
+/**
+ * Explains how a request ended.
+ *
+ * @param id - Id of the request.
+ * @param files - Paths of the files.
+ * @param environment - Process to print to.
+ * @returns The exit code; 1 when no line names the request.
+ */
+export function explainRequest(
+  id: string,
+  files: readonly string[],
+  environment: CliEnvironment,
+): number {
+  const lines = read(files, environment);
+  if (lines === null) return EXIT_CODES.invalid;
+  const stories = tellStories(lines, id);
+  if (stories.length === 0) {
+    environment.err(
+      `no line names request ${escapeText(id)}: it was answered by a server, ` +
+        'never arrived, or its line was dropped (see request-lines-dropped)\n',
+    );
+    return EXIT_CODES.refused;
+  }
+  for (const {request, meaning, before} of stories) {
+    environment.out(`${escapeText(showFields(request))}\n`);
+    environment.out(`at ${escapeText(request.process)}: ${meaning}\n`);
+    if (before.length > 0) environment.out(show(before));
+  }
+  return EXIT_CODES.ok;
+}
--- /dev/null
+++ b/packages/ctl/src/commands/vm.ts
@@ -0,0 +1,206 @@
+/** `vm`: what the entry VMs of a platform believe, read from themselves. */
+import {vmStateSchema} from '@wisteriarun/core';
+import type {RangeOwner, VmState} from '@wisteriarun/core';
+import {request} from 'undici';
+import type {CliEnvironment} from '../environment.js';
+import {EXIT_CODES} from '../exit-codes.js';
+import {escapeText, formatTable} from '../table.js';
+import type {Cell} from '../table.js';
+
+/** A VM that does not answer within this time is reported as such. */
+const TIMEOUT_MS = 3_000;
+/** Fences of one term; what is above them is the term. */
+const FENCES_PER_TERM = 2 ** 20;
+
+/** Options of all `vm` commands. */
+export interface VmOptions {
+  readonly at: readonly string[];
+  readonly json?: boolean;
+}
+
+interface Gathered {
+  readonly states: readonly VmState[];
+  readonly exitCode: number;
+}
+
+async function ask(address: string): Promise<VmState> {
+  const answer = await request(`http://${address}/state`, {
+    headersTimeout: TIMEOUT_MS,
+    bodyTimeout: TIMEOUT_MS,
+  });
+  return vmStateSchema.parse(await answer.body.json());
+}
+
+async function gather(
+  {at}: VmOptions,
+  environment: CliEnvironment,
+): Promise<Gathered> {
+  const answers = await Promise.allSettled(at.map(ask));
+  const states: VmState[] = [];
+  for (const [index, answer] of answers.entries()) {
+    if (answer.status === 'fulfilled') {
+      states.push(answer.value);
+      continue;
+    }
+    const {reason} = answer as {reason: unknown};
+    const cause = reason instanceof Error ? reason.message : 'unknown cause';
+    environment.err(`${escapeText(at[index] ?? '')}: ${escapeText(cause)}\n`);
+  }
+  if (states.length === 0) return {states, exitCode: EXIT_CODES.unreachable};
+  const isWhole = states.length === at.length;
+  return {states, exitCode: isWhole ? EXIT_CODES.ok : EXIT_CODES.partial};
+}
+
+function print(
+  headings: readonly string[],
+  rows: readonly (readonly Cell[])[],
+  {json}: VmOptions,
+  environment: CliEnvironment,
+): void {
+  if (json !== true) {
+    environment.out(formatTable(headings, rows));
+    return;
+  }
+  const names = headings.map(heading =>
+    heading.toLowerCase().replaceAll(' ', '_'),
+  );
+  const items = rows.map(row =>
+    Object.fromEntries(row.map((cell, column) => [names[column], cell])),
+  );
+  environment.out(`${JSON.stringify(items, null, 2)}\n`);
+}
+
+/**
+ * Shows which bundle is in force at each VM, who assigns and how old its view
+ * is.
+ *
+ * @param options - Parsed options.
+ * @param environment - Process to print to.
+ * @returns The exit code.
+ */
+export async function showVmStatus(
+  options: VmOptions,
+  environment: CliEnvironment,
+): Promise<number> {
+  const {states, exitCode} = await gather(options, environment);
+  print(
+    [
+      'VM',
+      'ZONE',
+      'READY',
+      'BUNDLE',
+      'ASSIGNER',
+      'TERM',
+      'REVISION',
+      'SERVERS',
+      'SERVERS AGE MS',
+      'BUNDLES AGE MS',
+      'IN FLIGHT',
+    ],
+    states.map(state => [
+      state.vm,
+      state.zone,
+      state.isReady,
+      state.bundle,
+      state.isAssigner ? `${state.vm} (itself)` : state.assigner,
+      state.term,
+      state.revision,
+      state.servers.length,
+      state.serversAgeMs,
+      state.bundlesAgeMs,
+      state.requestsInFlight,
+    ]),
+    options,
+    environment,
+  );
+  return exitCode;
+}
+
+/** Why the owner would change, as far as the VM can tell. */
+function whatMoves({ranges, servers}: VmState, range: RangeOwner): string {
+  if (range.moving) return 'is changing hands now';
+  const server = servers.find(({id}) => id === range.server);
+  if (range.server === null) return 'waits for a server that may hold it';
+  if (server === undefined) return 'moves: the server is not listed any more';
+  if (server.isDraining) return 'moves: the server leaves';
+  if (server.bornMs !== range.bornMs) return 'granted anew: server restarted';
+  const owned = ranges.filter(other => other.server === range.server).length;
+  return `a loss of the server, or a load above its share (${owned} ranges)`;
+}
+
+/**
+ * Shows who owns a key, by which grant, and what would move it.
+ *
+ * @param service - Name of the service.
+ * @param key - The key.
+ * @param options - Parsed options.
+ * @param environment - Process to print to.
+ * @returns The exit code.
+ */
+export async function showVmOwner(
+  service: string,
+  key: number,
+  options: VmOptions,
+  environment: CliEnvironment,
+): Promise<number> {
+  const {states, exitCode} = await gather(options, environment);
+  const rows = states.map((state): Cell[] => {
+    const range = state.ranges.find(
+      ({service: name, fromKey, toKey}) =>
+        name === service && fromKey <= key && key <= toKey,
+    );
+    if (range === undefined) {
+      return [state.vm, null, null, null, null, 'no owner is known'];
+    }
+    return [
+      state.vm,
+      `${range.fromKey}-${range.toKey}`,
+      range.server,
+      Math.floor(range.fence / FENCES_PER_TERM),
+      range.fence % FENCES_PER_TERM,
+      whatMoves(state, range),
+    ];
+  });
+  print(
+    ['VM', 'KEYS', 'SERVER', 'SINCE TERM', 'GRANT', 'WHAT MOVES IT'],
+    rows,
+    options,
+    environment,
+  );
+  return exitCode;
+}
+
+/**
+ * Shows the servers that leave and the keys that they still own.
+ *
+ * @param options - Parsed options.
+ * @param environment - Process to print to.
+ * @returns The exit code.
+ */
+export async function showVmDrains(
+  options: VmOptions,
+  environment: CliEnvironment,
+): Promise<number> {
+  const {states, exitCode} = await gather(options, environment);
+  const rows = states.flatMap(({vm, servers, ranges}) =>
+    servers
+      .filter(({isDraining}) => isDraining)
+      .map((server): Cell[] => {
+        const held = ranges.filter(
+          range => range.server === server.id || range.former === server.id,
+        );
+        const keys = held.reduce(
+          (sum, {fromKey, toKey}) => sum + toKey - fromKey + 1,
+          0,
+        );
+        return [vm, server.id, server.service, server.zone, held.length, keys];
+      }),
+  );
+  print(
+    ['VM', 'SERVER', 'SERVICE', 'ZONE', 'RANGES LEFT', 'KEYS LEFT'],
+    rows,
+    options,
+    environment,
+  );
+  return exitCode;
+}
--- a/packages/gateway/src/entry/ingress.ts
+++ b/packages/gateway/src/entry/ingress.ts
@@ -1,7 +1,7 @@
 /** Listeners for callers, readiness questions and metrics. */
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {CallerLimits} from '@wisteriarun/core';
+import type {CallerLimits, VmState} from '@wisteriarun/core';
 import {
   NOT_READY_STATUS,
   READINESS_PATH,
@@ -95,18 +95,29 @@
   }
 }
 
-/** Answers the balancer and scrapes. */
+/** Path of the VM's state, for operators. */
+const STATE_PATH = '/state';
+/** Path of the metrics. */
+const METRICS_PATH = '/metrics';
+
+/** What the status listeners answer with. */
+export interface StatusSources {
+  /** Whether new connections are welcome. */
+  isReady(): boolean;
+  /** Renders the metrics. */
+  metrics(): string;
+  /** What the VM believes. */
+  state(): VmState;
+}
+
+/** Answers the balancer, scrapes and operators. */
 export class StatusIngress {
   readonly #servers: Server[] = [];
 
   /**
-   * @param isReady - Whether new connections are welcome.
-   * @param metrics - Renders the metrics.
+   * @param sources - What the listeners answer with.
    */
-  constructor(
-    private readonly isReady: () => boolean,
-    private readonly metrics: () => string,
-  ) {}
+  constructor(private readonly sources: StatusSources) {}
 
   /**
    * Starts to answer readiness questions.
@@ -117,21 +128,28 @@
   listenReadiness(address: string): Promise<void> {
     return this.#listen(address, (request, response) => {
       const isKnown = request.url === READINESS_PATH;
-      const status = this.isReady() ? READY_STATUS : NOT_READY_STATUS;
+      const status = this.sources.isReady() ? READY_STATUS : NOT_READY_STATUS;
       response.writeHead(isKnown ? status : 404).end();
     });
   }
 
   /**
-   * Starts to answer scrapes.
+   * Starts to answer scrapes, and operators who ask for the state.
    *
    * @param address - Address to listen on, host:port.
-   * @returns Resolves when scrapes are answered.
+   * @returns Resolves when both are answered.
    */
   listenMetrics(address: string): Promise<void> {
-    return this.#listen(address, (_, response) => {
-      response.setHeader('content-type', 'text/plain; version=0.0.4');
-      response.end(this.metrics());
+    return this.#listen(address, ({url}, response) => {
+      if (url === METRICS_PATH) {
+        response.setHeader('content-type', 'text/plain; version=0.0.4');
+        response.end(this.sources.metrics());
+      } else if (url === STATE_PATH) {
+        response.setHeader('content-type', 'application/json');
+        response.end(JSON.stringify(this.sources.state()));
+      } else {
+        response.writeHead(404).end();
+      }
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
   GatewayHeaders,
   KeyedLog,
   KeyGranter,
+  VmState,
 } from '@wisteriarun/core';
 import {Metrics} from '@wisteriarun/runtime';
 import type {Clock, Logger} from '@wisteriarun/runtime';
@@ -173,10 +174,11 @@
         response.destroy();
       }),
     );
-    this.#status = new StatusIngress(
-      () => this.isReady,
-      () => this.#metrics.render(),
-    );
+    this.#status = new StatusIngress({
+      isReady: () => this.isReady,
+      metrics: () => this.#metrics.render(),
+      state: () => this.#state(),
+    });
     void this.#directory.changes.stream.observe(change =>
       this.#coordinator.shareCrashes(
         this.#crashes.serverChanged(change, clock.monotonicMs()),
@@ -260,6 +262,31 @@
     this.ports.log.close();
   }
 
+  #state(): VmState {
+    const {settings, ports} = this;
+    const {assignerReads, isAssigner, assigner} = this.#coordinator;
+    const ageMs = (own: LogFollower, passedOnMs: number) => {
+      const least = Math.min(own.ageMs, passedOnMs);
+      return Number.isFinite(least) ? Math.round(least) : null;
+    };
+    return {
+      vm: settings.vm.id,
+      zone: settings.vm.zone,
+      wallTimeMs: ports.clock.wallMs(),
+      isReady: this.isReady,
+      bundle: this.#bundles.bundle?.version ?? null,
+      isAssigner,
+      assigner,
+      term: this.#owners.term,
+      revision: this.#owners.revision,
+      serversAgeMs: ageMs(this.#serverFollower, assignerReads.serversAgeMs),
+      bundlesAgeMs: ageMs(this.#bundleFollower, assignerReads.bundlesAgeMs),
+      requestsInFlight: this.#callers.inFlight,
+      ranges: this.#owners.all(),
+      servers: [...this.#directory.registry.servers.values()],
+    };
+  }
+
   #directoryPauseMs(): number {
     return this.#coordinator.isAssigner
       ? ASSIGNER_PAUSE_MS
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -108,6 +108,11 @@
     return this.#assigner !== null;
   }
 
+  /** VM of the newest ownership record; null before the first was read. */
+  get assigner(): string | null {
+    return this.parts.log.newest?.record.assigner.vm ?? null;
+  }
+
   /** How far the assigner has read the logs; nothing without a link to it. */
   get assignerReads(): ReadState {
     if (this.isAssigner || !this.#isLinkAlive()) return UNREAD;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -83,7 +83,12 @@
 export class GatewayHarness {
   readonly store = new PlatformStore();
   readonly members: Member[] = [];
-  readonly gateways: {gateway: Gateway; callers: string; ready: string}[] = [];
+  readonly gateways: {
+    gateway: Gateway;
+    callers: string;
+    ready: string;
+    metrics: string;
+  }[] = [];
   #storeAddress = '';
   #timer: NodeJS.Timeout | null = null;
   #version = 0;
@@ -165,7 +170,12 @@
     });
     await gateway.start();
     const callers = settings.callersAddress;
-    this.gateways.push({gateway, callers, ready: settings.readinessAddress});
+    this.gateways.push({
+      gateway,
+      callers,
+      ready: settings.readinessAddress,
+      metrics: `127.0.0.1:${settings.metricsPort}`,
+    });
     await this.until(() => gateway.isReady);
     await this.until(() => this.#isServed(callers));
   }
--- a/packages/gateway/test/lifecycle.test.ts
+++ b/packages/gateway/test/lifecycle.test.ts
@@ -1,3 +1,4 @@
+import {vmStateSchema} from '@wisteriarun/core';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {request} from 'undici';
 import {GatewayHarness, resources} from './harness.js';
@@ -46,6 +47,28 @@
     expect(answer.status).toBe(200);
   });
 
+  it('shows operators what it believes', async () => {
+    await harness.addServer('records', {id: 'i-1'});
+    await harness.addGateway('vm-1');
+    const {metrics} = harness.gateways[0]!;
+    const answer = await request(`http://${metrics}/state`);
+    const state = vmStateSchema.parse(await answer.body.json());
+    expect(state).toMatchObject({
+      vm: 'vm-1',
+      isReady: true,
+      bundle: 1,
+      isAssigner: true,
+      assigner: 'vm-1',
+    });
+    expect(state.servers.map(({id}) => id)).toEqual(['i-1']);
+    expect(state.ranges.map(({server}) => server)).toEqual(['i-1']);
+    const scrape = await request(`http://${metrics}/metrics`);
+    expect(await scrape.body.text()).toContain('wisteriarun_requests_total');
+    const other = await request(`http://${metrics}/other`);
+    await other.body.dump();
+    expect(other.statusCode).toBe(404);
+  });
+
   it('sends a leaving server nothing after the drain bound', async () => {
     const first = await harness.addServer('audio', {
       id: 'i-1',
