--- a/packages/ctl/src/request-story.ts
+++ b/packages/ctl/src/request-story.ts
@@ -101,11 +101,29 @@
           request.timeMs - line.timeMs <= LOOK_BACK_MS &&
           isRelated(line),
       );
-      const meaning = CAUSES[cause] ?? 'answered by the server';
-      return {request, meaning, before: withoutRepeats(before)};
+      return {
+        request,
+        meaning: CAUSES[cause] ?? describeAnswer(request),
+        before: withoutRepeats(before),
+      };
     });
 }
 
+/** An answered request has a line when it failed or was late. */
+function describeAnswer({fields}: LogLine): string {
+  const {
+    status = '',
+    held_ms: heldMs = '',
+    took_ms: tookMs = '',
+    objective_ms: objectiveMs = '',
+  } = fields;
+  const isLate = Number(tookMs) > Number(objectiveMs);
+  const what = isLate
+    ? `answered ${tookMs} ms after it was read, objective ${objectiveMs} ms`
+    : 'answered by the server';
+  return `${what}, status ${status}; held for ${heldMs} ms before it was sent`;
+}
+
 /** Every VM logs a change of a server; the first one is enough. */
 function withoutRepeats(lines: readonly LogLine[]): LogLine[] {
   const seen = new Set<string>();
--- a/packages/ctl/test/logs.test.ts
+++ b/packages/ctl/test/logs.test.ts
@@ -13,6 +13,7 @@
   '   2.2000 vm-2 time=2026-03-01T10:00:02.100Z event=request level=info process=vm-2 zone=b id=abc route=r-1 key=15 outcome=refused status=503 cause=moving took_ms=300 attempts=""',
   'time=2026-03-01T10:00:02.200Z event=request level=info process=vm-2 zone=b id=def route=r-1 key=99 outcome=refused status=502 cause=connection-lost took_ms=80 attempts=i-9:unknown:connection-lost',
   'time=2026-03-01T10:00:02.150Z event=log-lost level=warn process=vm-1 zone=a log=servers cause="down \\"now\\""',
+  'time=2026-03-01T10:00:02.210Z event=request level=info process=vm-2 zone=b id=ghi route=r-1 key=12 outcome=answered status=200 cause=null took_ms=450 objective_ms=250 held_ms=290 attempts=i-8:answered',
   'not a line of ours',
 ];
 
@@ -43,7 +44,7 @@
   it('reads quoted values and leaves out what a collector put in front', () => {
     expect(parseLogLine(LINES[6]!)?.fields['cause']).toBe('down "now"');
     expect(parseLogLine(LINES[4]!)?.process).toBe('vm-2');
-    expect(parseLogLine(LINES[7]!)).toBeNull();
+    expect(parseLogLine(LINES.at(-1)!)).toBeNull();
   });
 
   it('merge the events of all files by time, without requests', async () => {
@@ -63,9 +64,10 @@
   });
 
   it.each([
-    [['--event', 'request'], 2],
+    [['--event', 'request'], 3],
     [['--server', 'i-8'], 1],
     [['--key', '15'], 1],
+    [['--key', '15', '--event', 'request'], 1],
     [['--from', '2026-03-01T10:00:02Z'], 2],
     [['--to', '2026-03-01T10:00:01Z'], 2],
   ])('filter by %j', async (options, count) => {
@@ -80,6 +82,13 @@
     expect(out).not.toContain('server-changed');
   });
 
+  it('explain a late answer by the time that it was held', async () => {
+    expect(await run('logs', 'explain', 'ghi', ...files)).toBe(0);
+    expect(out).toContain('answered 450 ms after it was read, objective 250');
+    expect(out).toContain('held for 290 ms');
+    expect(out).toContain('range-moved');
+  });
+
   it('explain a lost answer by what became of its server, once', async () => {
     expect(await run('logs', 'explain', 'def', ...files)).toBe(0);
     expect(out).toContain('the request may have run');
--- a/packages/gateway/src/entry/exchange.ts
+++ b/packages/gateway/src/entry/exchange.ts
@@ -48,6 +48,7 @@
   #isStreamSent = false;
   #mayHaveRun = false;
   #servers: string[] = [];
+  #sentAtMs: number | null = null;
 
   /**
    * @param request - Request of the caller.
@@ -91,11 +92,12 @@
   }
 
   /**
-   * Takes the body for an attempt.
+   * Takes the body for an attempt, which starts now.
    *
    * @returns The body; a stream can be taken once.
    */
   bodyToSend(): Buffer | Readable | null {
+    this.#sentAtMs ??= this.parts.clock.monotonicMs();
     if (this.body.kind === 'held') return this.body.bytes;
     this.#isStreamSent = true;
     return this.body.stream;
@@ -236,9 +238,11 @@
 
   #log(outcome: string, status: number, cause: string | null): void {
     const {clock, log, meter} = this.parts;
-    const tookMs = clock.monotonicMs() - this.startedAtMs;
+    const nowMs = clock.monotonicMs();
+    const tookMs = nowMs - this.startedAtMs;
     meter.record(this.route?.kind ?? 'none', outcome, cause ?? '', tookMs);
-    if (cause === null && status < 500) return;
+    const isLate = tookMs > (this.route?.objectiveMs ?? Infinity);
+    if (cause === null && status < 500 && !isLate) return;
     log.write(() => ({
       id: singleHeader(this.request.headers, this.names.requestId),
       route: this.route?.name,
@@ -247,6 +251,9 @@
       status,
       cause,
       took_ms: Math.round(tookMs),
+      objective_ms: this.route?.objectiveMs,
+      // Time in this VM before the first attempt; all of it without one.
+      held_ms: Math.round((this.#sentAtMs ?? nowMs) - this.startedAtMs),
       attempts: this.#servers.join(','),
     }));
   }
