--- a/packages/core/test/range/range-planner.test.ts
+++ b/packages/core/test/range/range-planner.test.ts
@@ -154,8 +154,8 @@
     expect(others).toBeLessThan(300);
   });
 
-  // Shares in proportion to the capacity left half of the requests that were
-  // late to servers that are slow even without a queue.
+  // With shares in proportion to the capacity, and none moved while the servers
+  // were idle, requests went to servers that are late even without a queue.
   it('relieves slow servers first while there is room', () => {
     const members = servers(12).map(({id}, index) => ({
       id,
