Thin out requests for servers that are asked for more than they can serve

Ruled out: processor time (0.043 of a core a VM, 0.29 the most), placement (one key cannot be split). Change: the assigner, which knows the load of all VMs, tells them what share of the requests a server gets whose keys are asked for 1.3 times its capacity or more; urgent requests get twice the share. Each VM lets that share through evenly. What an answer shows of the queue counts as before.

--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -190,6 +190,11 @@
   z.object({kind: z.literal('server'), server: gatewayServerSchema}),
   /** A server that is gone. */
   z.object({kind: z.literal('server-gone'), id: z.string()}),
+  /** Shares of the requests that overloaded servers get; all others get all. */
+  z.object({
+    kind: z.literal('shares'),
+    shares: z.array(z.object({server: z.string(), share: z.number()})),
+  }),
   /** Requests that crashed servers; a count of 0 clears one. */
   z.object({kind: z.literal('crashes'), records: z.array(crashRecordSchema)}),
   z.object({kind: z.literal('view'), view: ownershipViewSchema}),
--- a/packages/ctl/src/request-story.ts
+++ b/packages/ctl/src/request-story.ts
@@ -27,6 +27,8 @@
 const CAUSES: Readonly<Record<string, string>> = {
   overload:
     'the owner of the key had as many requests as it is given; refused before it was sent',
+  thinned:
+    'the key is asked for more than its server can serve; refused before it was sent',
   'too-late':
     'the expected wait did not fit the time that was left; refused before it was sent',
   moving: 'the key was changing hands; refused before it was sent',
--- a/packages/gateway/src/entry/server-choice.ts
+++ b/packages/gateway/src/entry/server-choice.ts
@@ -1,5 +1,6 @@
 /** Chooses the server of a request, or refuses it early. */
 import type {
+  Admission,
   GatewayServer,
   GatewayService,
   ServerLoadView,
@@ -16,6 +17,8 @@
 const MIN_RETRY_AFTER_MS = 80;
 /** Time after which a refused caller may find another owner. */
 const OWNERLESS_RETRY_AFTER_MS = 150;
+/** Time after which a request that was thinned out may find the load gone. */
+const THINNED_RETRY_AFTER_MS = 200;
 /** Longest wait for keys that change hands. */
 const MAX_MOVE_WAIT_MS = 300;
 /** Wait that a transfer to another zone is worth, for each KiB of the body. */
@@ -46,7 +49,8 @@
   | {readonly kind: 'wait'; readonly waitMs: number}
   | {
       readonly kind: 'refuse';
-      readonly cause: 'no-server' | 'no-owner' | 'overload' | 'too-late';
+      readonly cause:
+        'no-server' | 'no-owner' | 'overload' | 'too-late' | 'thinned';
       readonly retryAfterMs: number;
     };
 
@@ -59,6 +63,7 @@
    * @param zone - Zone of this VM.
    * @param leaveMs - Time for which a leaving owner still gets requests while
    * its keys are moved.
+   * @param admission - How much of the load on overloaded owners may pass.
    */
   constructor(
     private readonly directory: ServerDirectory,
@@ -66,6 +71,7 @@
     private readonly pool: ServerPool,
     private readonly zone: string,
     private readonly leaveMs: number,
+    private readonly admission: Admission,
   ) {}
 
   /**
@@ -101,7 +107,12 @@
     if (input.tried.has(owner.id) && this.#justRefused(owner, input, nowMs)) {
       return refuse('overload', MIN_RETRY_AFTER_MS);
     }
-    return this.#admit(owner, input, nowMs);
+    const choice = this.#admit(owner, input, nowMs);
+    const isFirst = input.tried.size === 0;
+    if (choice.kind !== 'server' || !isFirst) return choice;
+    return this.admission.admits(owner.id, input.isUrgent, nowMs)
+      ? choice
+      : refuse('thinned', THINNED_RETRY_AFTER_MS);
   }
 
   #justRefused(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 /** The gateway process: one on each entry VM. */
+import {Admission} from '@wisteriarun/core';
 import type {
   GatewayCodec,
   GatewayHeaders,
@@ -71,6 +72,7 @@
   readonly #pool = new ServerPool();
   readonly #owners = new OwnerView();
   readonly #loads = new LoadMeter();
+  readonly #admission = new Admission();
   readonly #bundleFollower: LogFollower;
   readonly #serverFollower: LogFollower;
   readonly #bundles: BundleHolder;
@@ -132,6 +134,7 @@
       log: new OwnershipLog(log, logger),
       owners: this.#owners,
       crashes: this.#crashes,
+      admission: this.#admission,
       directory: this.#directory,
       bundles: this.#bundles,
       granter,
@@ -157,6 +160,7 @@
         this.#pool,
         settings.vm.zone,
         settings.drainMs * LEAVE_RATIO,
+        this.#admission,
       ),
       loads: this.#loads,
       meter: new RequestMeter(this.#metrics, clock),
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -1,11 +1,19 @@
 /** Assigns the key ranges of all services, while this VM is elected. */
-import {HoldLedger, initialRanges, RangePlanner} from '@wisteriarun/core';
+import {
+  admittedShares,
+  HoldLedger,
+  initialRanges,
+  RangePlanner,
+} from '@wisteriarun/core';
 import type {
+  Admission,
+  AdmittedShare,
   GatewayMessage,
   GatewayServer,
   GatewayService,
   KeyGranter,
   OwnershipRecord,
+  PlannedServer,
   RangeOwner,
 } from '@wisteriarun/core';
 import type {Clock, Logger} from '@wisteriarun/runtime';
@@ -48,6 +56,8 @@
   readonly bundles: BundleHolder;
   readonly granter: KeyGranter;
   readonly peers: PeerServer;
+  /** Shares of requests that this VM lets through. */
+  readonly admission: Admission;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly holdMs: number;
@@ -71,6 +81,7 @@
   #beatAtMs = 0;
   #appendTriedAtMs = 0;
   #balancedAtMs = 0;
+  #isThinning = false;
   #isClosed = false;
 
   /**
@@ -376,10 +387,12 @@
     if (nowMs - this.#balancedAtMs < BALANCE_INTERVAL_MS) return;
     this.#balancedAtMs = nowMs;
     const {publisher, bundles} = this.parts;
+    const names = [...this.#loads.services];
+    for (const name of names) this.#loads.of(name).decay(nowMs);
+    const keyed = names.filter(name => bundles.service(name)?.isKeyed === true);
+    this.#thin(keyed, nowMs);
     if (nowMs - publisher.appendedAtMs > 2 * APPEND_INTERVAL_MS) return;
-    for (const name of this.#loads.services) {
-      this.#loads.of(name).decay(nowMs);
-      if (bundles.service(name)?.isKeyed !== true) continue;
+    for (const name of keyed) {
       for (const move of this.#planner(name).rebalance()) {
         const parts = [...publisher.table.overlapping(name, move)];
         for (const range of parts) {
@@ -390,19 +403,38 @@
     }
   }
 
-  #planner(service: string): RangePlanner {
-    const {publisher, directory, clock} = this.parts;
+  /** Tells all VMs how much of the load on overloaded servers may pass. */
+  #thin(services: readonly string[], nowMs: number): void {
+    const {publisher, peers, admission} = this.parts;
+    const shares: AdmittedShare[] = services.flatMap(name =>
+      admittedShares(
+        this.#loads.of(name),
+        this.#planned(name),
+        publisher.table.ofService(name),
+      ),
+    );
+    if (shares.length === 0 && !this.#isThinning) return;
+    this.#isThinning = shares.length > 0;
+    admission.set(shares, nowMs);
+    peers.broadcast({kind: 'shares', shares});
+  }
+
+  #planned(service: string): PlannedServer[] {
+    const {directory, clock} = this.parts;
     const nowMs = clock.monotonicMs();
-    const servers = directory.registry
+    return directory.registry
       .ofService(service)
       .filter(
         server => !server.isDraining && !this.#reach.isLost(server.id, nowMs),
       )
       .map(server => this.#loads.planned(server));
+  }
+
+  #planner(service: string): RangePlanner {
     return new RangePlanner(
       this.#loads.of(service),
-      servers,
-      publisher.table.ofService(service),
+      this.#planned(service),
+      this.parts.publisher.table.ofService(service),
     );
   }
 
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -288,7 +288,7 @@
   }
 
   #receive(message: GatewayMessage): void {
-    const {owners, directory, crashes, clock} = this.parts;
+    const {owners, directory, crashes, admission, clock} = this.parts;
     switch (message.kind) {
       case 'heartbeat':
         this.#isAssignerLogLost = message.isLogLost;
@@ -304,6 +304,9 @@
       case 'server-gone':
         directory.adopt(message);
         break;
+      case 'shares':
+        admission.set(message.shares, clock.monotonicMs());
+        break;
       case 'crashes':
         crashes.merge(message.records, clock.monotonicMs());
         break;
