Log what decided a refusal, and why and when keys begin to move

Change: a refusal names the server, the estimated requests and wait, the slots and the age of the report; each line names the bundle, term and revision it rests on; `range-moving` says when a move begins, with the reason apart: draining, gone, lost, balance or takeover. `logs explain` shows them and leaves out lines that repeat.

--- a/packages/core/src/core/range/server-load-view.ts
+++ b/packages/core/src/core/range/server-load-view.ts
@@ -41,6 +41,16 @@
     return this.#workMs;
   }
 
+  /**
+   * Milliseconds since the server last reported its load.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns The age; large before the first report.
+   */
+  reportAgeMs(nowMs: number): number {
+    return nowMs - this.#reportedAtMs;
+  }
+
   /**
    * Records an answer.
    *
--- a/packages/ctl/src/request-story.ts
+++ b/packages/ctl/src/request-story.ts
@@ -66,7 +66,7 @@
 }
 
 function coversKey(line: LogLine, key: number | null): boolean {
-  if (line.event !== 'range-moved' || key === null) return false;
+  if (!line.event.startsWith('range-mov') || key === null) return false;
   const {from_key: fromKey, to_key: toKey} = line.fields;
   return Number(fromKey) <= key && key <= Number(toKey);
 }
@@ -126,12 +126,16 @@
   return `${what}, status ${status}; held for ${heldMs} ms before it was sent`;
 }
 
-/** Every VM logs a change of a server; the first one is enough. */
+/**
+ * Every VM logs a change of a server, and a VM logs each failed append; the
+ * first of several equal lines is enough.
+ */
 function withoutRepeats(lines: readonly LogLine[]): LogLine[] {
   const seen = new Set<string>();
   return lines.filter(line => {
-    if (!line.event.startsWith('server-')) return true;
-    const what = `${line.event} ${JSON.stringify({...line.fields, zone: ''})}`;
+    const fields = JSON.stringify({...line.fields, zone: ''});
+    const process = line.event.startsWith('server-') ? '' : line.process;
+    const what = `${line.event} ${process} ${fields}`;
     if (seen.has(what)) return false;
     seen.add(what);
     return true;
--- a/packages/gateway/src/entry/exchange.ts
+++ b/packages/gateway/src/entry/exchange.ts
@@ -4,7 +4,7 @@
 import type {Readable} from 'node:stream';
 import {singleHeader} from '@wisteriarun/core';
 import type {GatewayHeaders, GatewayRoute} from '@wisteriarun/core';
-import type {Clock} from '@wisteriarun/runtime';
+import type {Clock, LogFields} from '@wisteriarun/runtime';
 import type {AnswerHeaders, AnswerSink, AttemptOutcome} from './attempt.js';
 import type {CallerBody} from './caller-body.js';
 import type {RequestLog} from './request-log.js';
@@ -29,6 +29,8 @@
   readonly clock: Clock;
   readonly log: RequestLog;
   readonly meter: RequestMeter;
+  /** Versions of what decisions rest on, for the log. */
+  versions(): LogFields;
 }
 
 type Answered = Extract<AttemptOutcome, {kind: 'answered'}>;
@@ -49,6 +51,7 @@
   #mayHaveRun = false;
   #servers: string[] = [];
   #sentAtMs: number | null = null;
+  #inputs: LogFields = {};
 
   /**
    * @param request - Request of the caller.
@@ -140,8 +143,14 @@
    * @param cause - For the log.
    * @param retryAfterMs - When the caller may come back; null when that would
    * not help.
+   * @param inputs - What decided it, for the log.
    */
-  refuse(cause: string, retryAfterMs: number | null): void {
+  refuse(
+    cause: string,
+    retryAfterMs: number | null,
+    inputs: LogFields = {},
+  ): void {
+    this.#inputs = inputs;
     if (this.fallback !== null) return this.answer(this.fallback);
     if (this.#mayHaveRun) return this.#own(502, cause, {});
     const headers: Record<string, string> =
@@ -237,7 +246,7 @@
   }
 
   #log(outcome: string, status: number, cause: string | null): void {
-    const {clock, log, meter} = this.parts;
+    const {clock, log, meter, versions} = this.parts;
     const nowMs = clock.monotonicMs();
     const tookMs = nowMs - this.startedAtMs;
     meter.record(this.route?.kind ?? 'none', outcome, cause ?? '', tookMs);
@@ -255,6 +264,8 @@
       // Time in this VM before the first attempt; all of it without one.
       held_ms: Math.round((this.#sentAtMs ?? nowMs) - this.startedAtMs),
       attempts: this.#servers.join(','),
+      ...this.#inputs,
+      ...versions(),
     }));
   }
 }
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -109,12 +109,17 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const {bundles, names, clock, log, meter} = this.parts;
+    const {bundles, owners, names, clock, log, meter} = this.parts;
     const exchange = new Exchange(request, response, names, {
       startedAtMs: clock.monotonicMs(),
       clock,
       log,
       meter,
+      versions: () => ({
+        bundle: bundles.bundle?.version,
+        term: owners.term,
+        revision: owners.revision,
+      }),
     });
     if (bundles.bundle === null) {
       exchange.refuse('no-bundle', null);
@@ -206,7 +211,8 @@
         nowMs,
       );
       if (chosen.kind === 'refuse') {
-        return exchange.refuse(chosen.cause, chosen.retryAfterMs);
+        const {cause, retryAfterMs, inputs} = chosen;
+        return exchange.refuse(cause, retryAfterMs, inputs);
       }
       if (chosen.kind === 'wait') {
         await owners.nextChange(chosen.waitMs);
--- a/packages/gateway/src/entry/server-choice.ts
+++ b/packages/gateway/src/entry/server-choice.ts
@@ -5,6 +5,7 @@
   GatewayService,
   ServerLoadView,
 } from '@wisteriarun/core';
+import type {LogFields} from '@wisteriarun/runtime';
 import type {ServerDirectory} from '../store/server-directory.js';
 import type {OwnerView} from '../ownership/owner-view.js';
 import type {PooledServer, ServerPool} from './server-pool.js';
@@ -52,6 +53,8 @@
       readonly cause:
         'no-server' | 'no-owner' | 'overload' | 'too-late' | 'thinned';
       readonly retryAfterMs: number;
+      /** What decided it, for the log. */
+      readonly inputs: LogFields;
     };
 
 /** Chooses servers by owner, expected wait and zone. */
@@ -102,17 +105,22 @@
     const isLeft =
       owner !== null && this.directory.leavingMs(owner.id) > this.leaveMs;
     if (owner === null || isLeft) {
-      return refuse('no-owner', OWNERLESS_RETRY_AFTER_MS);
+      return refuse('no-owner', OWNERLESS_RETRY_AFTER_MS, {
+        server: range?.server,
+        listed: owner !== null,
+      });
     }
     if (input.tried.has(owner.id) && this.#justRefused(owner, input, nowMs)) {
-      return refuse('overload', MIN_RETRY_AFTER_MS);
+      const {load} = this.pool.of(owner, nowMs);
+      const inputs = loadInputs(owner.id, load, nowMs);
+      return refuse('overload', MIN_RETRY_AFTER_MS, inputs);
     }
     const choice = this.#admit(owner, input, nowMs);
     const isFirst = input.tried.size === 0;
     if (choice.kind !== 'server' || !isFirst) return choice;
     return this.admission.admits(owner.id, input.isUrgent, nowMs)
       ? choice
-      : refuse('thinned', THINNED_RETRY_AFTER_MS);
+      : refuse('thinned', THINNED_RETRY_AFTER_MS, {server: owner.id});
   }
 
   #justRefused(
@@ -136,7 +144,10 @@
         leastMs = costMs;
       }
     }
-    if (best === null) return refuse('no-server', OWNERLESS_RETRY_AFTER_MS);
+    if (best === null) {
+      const inputs = {service: input.service.name};
+      return refuse('no-server', OWNERLESS_RETRY_AFTER_MS, inputs);
+    }
     return this.#admit(best, input, nowMs);
   }
 
@@ -160,12 +171,14 @@
     const pooled = this.pool.of(server, nowMs);
     const {load} = pooled;
     if (load.isSuspect(nowMs)) {
-      return refuse('no-server', OWNERLESS_RETRY_AFTER_MS);
+      const inputs = {server: server.id, suspect: true};
+      return refuse('no-server', OWNERLESS_RETRY_AFTER_MS, inputs);
     }
     const cause = this.#refusal(load, input, nowMs);
     if (cause === null) return {kind: 'server', server, pooled};
     const waitMs = load.waitMs(nowMs);
-    return refuse(cause, Math.max(MIN_RETRY_AFTER_MS, waitMs / 2));
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs / 2);
+    return refuse(cause, retryAfterMs, loadInputs(server.id, load, nowMs));
   }
 
   /** Why a server should not get the request now; null when it should. */
@@ -184,6 +197,21 @@
 function refuse(
   cause: Extract<Choice, {kind: 'refuse'}>['cause'],
   retryAfterMs: number,
+  inputs: LogFields,
 ): Choice {
-  return {kind: 'refuse', cause, retryAfterMs};
+  return {kind: 'refuse', cause, retryAfterMs, inputs};
+}
+
+function loadInputs(
+  server: string,
+  load: ServerLoadView,
+  nowMs: number,
+): LogFields {
+  return {
+    server,
+    requests: load.requests(nowMs).toFixed(1),
+    slots: load.slots,
+    wait_ms: Math.round(load.waitMs(nowMs)),
+    report_age_ms: Math.round(load.reportAgeMs(nowMs)),
+  };
 }
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -23,6 +23,7 @@
 import {Authority, AUTHORITY_MS} from './authority.js';
 import {LoadBook} from './load-book.js';
 import {cutRange, RangeMover} from './range-mover.js';
+import type {MoveReason} from './range-mover.js';
 import {Renewals} from './renewals.js';
 import {ServerReach} from './server-reach.js';
 import type {TablePublisher} from './table-publisher.js';
@@ -67,6 +68,12 @@
   readState(): ReadState;
 }
 
+/** A range that its owner has to give up. */
+interface Evacuation {
+  readonly range: RangeOwner;
+  readonly reason: MoveReason;
+}
+
 /** Decides owners, renews their grants and answers for both. */
 export class Assigner {
   readonly #ledger = new HoldLedger();
@@ -308,7 +315,7 @@
   /** Moves keys away from servers that leave or are lost. */
   #followServers(nowMs: number): void {
     const {publisher, directory} = this.parts;
-    const leaving = new Map<string, RangeOwner[]>();
+    const leaving = new Map<string, Evacuation[]>();
     for (const range of publisher.table.all()) {
       if (range.moving || range.server === null) continue;
       const server = directory.registry.find(range.server);
@@ -319,12 +326,15 @@
           continue;
         }
       }
-      if (!this.#mustMove(range, server, nowMs)) continue;
-      const ranges = leaving.get(range.service) ?? [];
-      ranges.push(range);
-      leaving.set(range.service, ranges);
+      const reason = this.#whyMoved(range, server, nowMs);
+      if (reason === null) continue;
+      const evacuations = leaving.get(range.service) ?? [];
+      evacuations.push({range, reason});
+      leaving.set(range.service, evacuations);
+    }
+    for (const [service, evacuations] of leaving) {
+      this.#evacuate(service, evacuations);
     }
-    for (const [service, ranges] of leaving) this.#evacuate(service, ranges);
   }
 
   /**
@@ -332,21 +342,23 @@
    * stay until it can hold them no longer, and if it answers before, it never
    * lost them.
    */
-  #mustMove(
+  #whyMoved(
     range: RangeOwner,
     server: GatewayServer | null,
     nowMs: number,
-  ): boolean {
-    if (server === null || server.isDraining) return true;
-    if (!this.#reach.isLost(server.id, nowMs)) return false;
-    return this.#ledger.freeAtMs(range.service, range, null) <= nowMs;
+  ): MoveReason | null {
+    if (server === null) return 'gone';
+    if (server.isDraining) return 'draining';
+    if (!this.#reach.isLost(server.id, nowMs)) return null;
+    const freeAtMs = this.#ledger.freeAtMs(range.service, range, null);
+    return freeAtMs <= nowMs ? 'lost' : null;
   }
 
-  #evacuate(service: string, ranges: readonly RangeOwner[]): void {
+  #evacuate(service: string, evacuations: readonly Evacuation[]): void {
     const planner = this.#planner(service);
-    for (const range of ranges) {
+    for (const {range, reason} of evacuations) {
       for (const move of planner.place([range])) {
-        this.#mover.move(cutRange(range, move), move.to, 'leaving');
+        this.#mover.move(cutRange(range, move), move.to, reason);
       }
     }
   }
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -30,6 +30,12 @@
 /** Fences of one term; a term is an offset, which leaves room for 2^33. */
 const FENCES_PER_TERM = 2 ** 20;
 
+/**
+ * Why keys change hands: their owner leaves, is not listed any more or does not
+ * answer, has too much load, or a former assigner had begun the move.
+ */
+export type MoveReason = 'draining' | 'gone' | 'lost' | 'balance' | 'takeover';
+
 /** Parts that the mover works with. */
 export interface MoverParts {
   readonly publisher: TablePublisher;
@@ -85,14 +91,14 @@
    * @param to - Id of the next owner; null to choose one.
    * @param reason - For the log.
    */
-  move(range: RangeOwner, to: string | null, reason: string): void {
+  move(range: RangeOwner, to: string | null, reason: MoveReason): void {
     if (this.#isFree(range)) void this.#move(range, to, reason);
   }
 
   async #move(
     range: RangeOwner,
     to: string | null,
-    reason: string,
+    reason: MoveReason,
   ): Promise<void> {
     const {publisher, clock, logger, usable} = this.parts;
     const startedAtMs = clock.monotonicMs();
@@ -105,6 +111,14 @@
       moving: true,
     };
     publisher.decide(planned);
+    logger.info('range-moving', {
+      service: range.service,
+      from_key: range.fromKey,
+      to_key: range.toKey,
+      from: range.server,
+      to,
+      reason,
+    });
     // The record names both servers, so that a later assigner knows which of
     // them may hold the keys.
     if (range.server !== null && !(await publisher.persist())) {
