Split the balancer from the assigner, and write shared steps once

Change: Balancer plans moves and thins out; RangeMover.#send settles every grant; MessageDecoder and encodeMessage serve both ends of a link.

--- a/packages/core/src/core/range/range-planner.ts
+++ b/packages/core/src/core/range/range-planner.ts
@@ -155,13 +155,14 @@
    * fastest; rebalancing then takes the other keys away from that one.
    */
   #promoteHotKeys(states: readonly ServerState[]): void {
-    const hosts = new Set<ServerState>();
+    const hotKeys = new Map<ServerState, number>();
     for (const state of states) {
-      if (this.#hotKey(state) !== null) hosts.add(state);
-    }
-    for (const state of hosts) {
       const key = this.#hotKey(state);
-      if (state.isBusy || key === null) continue;
+      if (key !== null) hotKeys.set(state, key);
+    }
+    const hosts = new Set(hotKeys.keys());
+    for (const [state, key] of hotKeys) {
+      if (state.isBusy) continue;
       const target = states
         .filter(other => !other.isBusy && !hosts.has(other))
         .sort((a, b) => b.capacity - a.capacity)[0];
--- a/packages/core/test/range/range-planner.test.ts
+++ b/packages/core/test/range/range-planner.test.ts
@@ -66,6 +66,18 @@
   return moves.length;
 }
 
+function rebalance(
+  table: RangeTable,
+  load: KeyLoadMap,
+  members: readonly PlannedServer[],
+  steps: number,
+): void {
+  for (let step = 0; step < steps; step += 1) {
+    const ranges = table.ofService(SERVICE);
+    applyMoves(table, new RangePlanner(load, members, ranges));
+  }
+}
+
 describe('initial ranges', () => {
   it('cover every key once, for any number of servers', () => {
     fc.assert(
@@ -98,12 +110,7 @@
     const table = evenTable(33);
     const load = loadMap(30_000, 200, 100);
     const before = busiest(table, load, members);
-    for (let step = 0; step < 6; step += 1) {
-      applyMoves(
-        table,
-        new RangePlanner(load, members, table.ofService(SERVICE)),
-      );
-    }
+    rebalance(table, load, members, 6);
     expect(before).toBeGreaterThan(5);
     expect(busiest(table, load, members)).toBeLessThan(1.2);
   });
@@ -141,12 +148,7 @@
     }));
     const table = evenTable(6);
     const load = loadMap(10, 1, 5_000);
-    for (let step = 0; step < 6; step += 1) {
-      applyMoves(
-        table,
-        new RangePlanner(load, members, table.ofService(SERVICE)),
-      );
-    }
+    rebalance(table, load, members, 6);
     expect(table.find(SERVICE, 10)?.server).toBe('s4');
     const others = table
       .ofServer('s4')
@@ -163,12 +165,7 @@
     }));
     const table = evenTable(12);
     const load = loadMap(0, 0, 0);
-    for (let step = 0; step < 12; step += 1) {
-      applyMoves(
-        table,
-        new RangePlanner(load, members, table.ofService(SERVICE)),
-      );
-    }
+    rebalance(table, load, members, 12);
     const utilization = ({id, capacity}: PlannedServer) =>
       table.ofServer(id).reduce((sum, range) => sum + load.sum(range), 0) /
       capacity;
@@ -186,12 +183,7 @@
     }));
     const table = evenTable(12);
     const load = loadMap(0, 0, 0);
-    for (let step = 0; step < 12; step += 1) {
-      applyMoves(
-        table,
-        new RangePlanner(load, members, table.ofService(SERVICE)),
-      );
-    }
+    rebalance(table, load, members, 12);
     // 8.2 on 3.7: 2.2 each, and 0.2 of that more at the most.
     expect(busiest(table, load, members)).toBeLessThan(2.2 * 1.2 + 0.1);
   });
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -1,19 +1,12 @@
 /** Assigns the key ranges of all services, while this VM is elected. */
-import {
-  admittedShares,
-  HoldLedger,
-  initialRanges,
-  RangePlanner,
-} from '@wisteriarun/core';
+import {HoldLedger, initialRanges} from '@wisteriarun/core';
 import type {
   Admission,
-  AdmittedShare,
   GatewayMessage,
   GatewayServer,
   GatewayService,
   KeyGranter,
   OwnershipRecord,
-  PlannedServer,
   RangeOwner,
 } from '@wisteriarun/core';
 import type {Clock, Logger} from '@wisteriarun/runtime';
@@ -21,7 +14,7 @@
 import type {ServerChange, ServerDirectory} from '../store/server-directory.js';
 import type {PeerServer} from './peer-server.js';
 import {Authority, AUTHORITY_MS} from './authority.js';
-import {LoadBook} from './load-book.js';
+import {Balancer} from './balancer.js';
 import {cutRange, RangeMover} from './range-mover.js';
 import type {MoveReason} from './range-mover.js';
 import {Renewals} from './renewals.js';
@@ -34,8 +27,6 @@
 const HEARTBEAT_MS = 300;
 /** Interval at which the table is appended although nothing changed. */
 const APPEND_INTERVAL_MS = 600;
-/** Interval at which moves for balance are planned. */
-const BALANCE_INTERVAL_MS = 250;
 /** Time without a new server after which the first ranges are given out. */
 const SETTLED_MS = 600;
 /** Time without an append after which the other VMs are told so. */
@@ -78,7 +69,7 @@
 export class Assigner {
   readonly #ledger = new HoldLedger();
   readonly #reach = new ServerReach();
-  readonly #loads = new LoadBook();
+  readonly #balancer: Balancer;
   readonly #authority: Authority;
   readonly #addresses = new Map<string, string>();
   readonly #mover: RangeMover;
@@ -87,8 +78,6 @@
   #serversChangedAtMs: number;
   #beatAtMs = 0;
   #appendTriedAtMs = 0;
-  #balancedAtMs = 0;
-  #isThinning = false;
   #isClosed = false;
 
   /**
@@ -107,6 +96,7 @@
     const nowMs = clock.monotonicMs();
     this.#serversChangedAtMs = nowMs;
     this.#authority = new Authority(publisher, clock, logger);
+    this.#balancer = new Balancer(parts, this.#reach);
     this.#mover = new RangeMover({
       publisher,
       granter,
@@ -117,7 +107,10 @@
       holdMs,
       usable: server => this.#usable(server),
       addressOf: server => this.#addresses.get(server) ?? null,
-      place: range => this.#place(range),
+      place: range => {
+        const [move] = this.#balancer.planner(range.service).place([range]);
+        return move === undefined ? null : this.#usable(move.to);
+      },
       mayGrant: () => this.#authority.mayGrant,
       quiesce: server => this.#renewals.quiesce(server),
     });
@@ -136,7 +129,7 @@
    * @param report - Report of a VM.
    */
   addLoad(report: Extract<GatewayMessage, {kind: 'load'}>): void {
-    this.#loads.add(report, this.parts.clock.monotonicMs());
+    this.#balancer.addLoad(report);
   }
 
   /**
@@ -266,7 +259,9 @@
     }
     this.#followServers(nowMs);
     this.#renew();
-    this.#balance(nowMs);
+    for (const {range, to} of this.#balancer.step(nowMs)) {
+      this.#mover.move(range, to, 'balance');
+    }
   }
 
   #beat(nowMs: number): void {
@@ -297,7 +292,7 @@
       .ofService(service.name)
       .filter(server => !server.isDraining);
     if (servers.length === 0) return;
-    const planned = servers.map(server => this.#loads.planned(server));
+    const planned = servers.map(server => this.#balancer.planned(server));
     for (const {fromKey, toKey, to} of initialRanges(planned)) {
       this.#mover.establish({
         service: service.name,
@@ -355,7 +350,7 @@
   }
 
   #evacuate(service: string, evacuations: readonly Evacuation[]): void {
-    const planner = this.#planner(service);
+    const planner = this.#balancer.planner(service);
     for (const {range, reason} of evacuations) {
       for (const move of planner.place([range])) {
         this.#mover.move(cutRange(range, move), move.to, reason);
@@ -395,68 +390,8 @@
     });
   }
 
-  #balance(nowMs: number): void {
-    if (nowMs - this.#balancedAtMs < BALANCE_INTERVAL_MS) return;
-    this.#balancedAtMs = nowMs;
-    const {publisher, bundles} = this.parts;
-    const names = [...this.#loads.services];
-    for (const name of names) this.#loads.of(name).decay(nowMs);
-    const keyed = names.filter(name => bundles.service(name)?.isKeyed === true);
-    this.#thin(keyed, nowMs);
-    if (nowMs - publisher.appendedAtMs > 2 * APPEND_INTERVAL_MS) return;
-    for (const name of keyed) {
-      for (const move of this.#planner(name).rebalance()) {
-        const parts = [...publisher.table.overlapping(name, move)];
-        for (const range of parts) {
-          if (range.moving || range.server !== move.from) continue;
-          this.#mover.move(range, move.to, 'balance');
-        }
-      }
-    }
-  }
-
-  /** Tells all VMs how much of the load on overloaded servers may pass. */
-  #thin(services: readonly string[], nowMs: number): void {
-    const {publisher, peers, admission} = this.parts;
-    const shares: AdmittedShare[] = services.flatMap(name =>
-      admittedShares(
-        this.#loads.of(name),
-        this.#planned(name),
-        publisher.table.ofService(name),
-      ),
-    );
-    if (shares.length === 0 && !this.#isThinning) return;
-    this.#isThinning = shares.length > 0;
-    admission.set(shares, nowMs);
-    peers.broadcast({kind: 'shares', shares});
-  }
-
-  #planned(service: string): PlannedServer[] {
-    const {directory, clock} = this.parts;
-    const nowMs = clock.monotonicMs();
-    return directory.registry
-      .ofService(service)
-      .filter(
-        server => !server.isDraining && !this.#reach.isLost(server.id, nowMs),
-      )
-      .map(server => this.#loads.planned(server));
-  }
-
-  #planner(service: string): RangePlanner {
-    return new RangePlanner(
-      this.#loads.of(service),
-      this.#planned(service),
-      this.parts.publisher.table.ofService(service),
-    );
-  }
-
   #usable(server: string): GatewayServer | null {
     const found = this.parts.directory.registry.find(server);
     return found === null || found.isDraining ? null : found;
   }
-
-  #place(range: RangeOwner): GatewayServer | null {
-    const [move] = this.#planner(range.service).place([range]);
-    return move === undefined ? null : this.#usable(move.to);
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/ownership/balancer.ts
@@ -0,0 +1,129 @@
+/** Decides which keys move for balance, and how much load may pass. */
+import {admittedShares, RangePlanner} from '@wisteriarun/core';
+import type {
+  AdmittedShare,
+  GatewayMessage,
+  GatewayServer,
+  PlannedServer,
+  RangeOwner,
+} from '@wisteriarun/core';
+import type {AssignerParts} from './assigner.js';
+import {LoadBook} from './load-book.js';
+import type {ServerReach} from './server-reach.js';
+
+/** Interval at which moves for balance are planned. */
+const INTERVAL_MS = 250;
+/** Time without an append after which nothing is moved for balance. */
+const LOG_SILENCE_MS = 1_200;
+
+/** A range that should go to another server. */
+export interface BalanceMove {
+  readonly range: RangeOwner;
+  /** Id of the server. */
+  readonly to: string;
+}
+
+/** Compares the load of keys with the capacity of servers. */
+export class Balancer {
+  readonly #loads = new LoadBook();
+  #steppedAtMs = 0;
+  #isThinning = false;
+
+  /**
+   * @param parts - Parts of the assigner.
+   * @param reach - Which servers answer.
+   */
+  constructor(
+    private readonly parts: AssignerParts,
+    private readonly reach: ServerReach,
+  ) {}
+
+  /**
+   * Adds a report of load.
+   *
+   * @param report - Report of a VM.
+   */
+  addLoad(report: Extract<GatewayMessage, {kind: 'load'}>): void {
+    this.#loads.add(report, this.parts.clock.monotonicMs());
+  }
+
+  /**
+   * Estimates what a server can do.
+   *
+   * @param server - The server.
+   * @returns The server with its capacity.
+   */
+  planned(server: GatewayServer): PlannedServer {
+    return this.#loads.planned(server);
+  }
+
+  /**
+   * Plans moves of one service.
+   *
+   * @param service - Name of the service.
+   * @returns A planner over the servers that may own keys now.
+   */
+  planner(service: string): RangePlanner {
+    return new RangePlanner(
+      this.#loads.of(service),
+      this.#usable(service),
+      this.parts.publisher.table.ofService(service),
+    );
+  }
+
+  /**
+   * Called at short intervals: tells all VMs what may pass, and finds moves.
+   *
+   * @param nowMs - Monotonic time.
+   * @returns Moves that should begin now.
+   */
+  step(nowMs: number): BalanceMove[] {
+    if (nowMs - this.#steppedAtMs < INTERVAL_MS) return [];
+    this.#steppedAtMs = nowMs;
+    const {publisher, bundles} = this.parts;
+    const names = [...this.#loads.services];
+    for (const name of names) this.#loads.of(name).decay(nowMs);
+    const keyed = names.filter(name => bundles.service(name)?.isKeyed === true);
+    this.#thin(keyed, nowMs);
+    if (nowMs - publisher.appendedAtMs > LOG_SILENCE_MS) return [];
+    return keyed.flatMap(name => this.#rebalance(name));
+  }
+
+  #rebalance(service: string): BalanceMove[] {
+    const {table} = this.parts.publisher;
+    return this.planner(service)
+      .rebalance()
+      .flatMap(move =>
+        [...table.overlapping(service, move)]
+          .filter(range => !range.moving && range.server === move.from)
+          .map(range => ({range, to: move.to})),
+      );
+  }
+
+  /** Tells all VMs how much of the load on overloaded servers may pass. */
+  #thin(services: readonly string[], nowMs: number): void {
+    const {publisher, peers, admission} = this.parts;
+    const shares: AdmittedShare[] = services.flatMap(name =>
+      admittedShares(
+        this.#loads.of(name),
+        this.#usable(name),
+        publisher.table.ofService(name),
+      ),
+    );
+    if (shares.length === 0 && !this.#isThinning) return;
+    this.#isThinning = shares.length > 0;
+    admission.set(shares, nowMs);
+    peers.broadcast({kind: 'shares', shares});
+  }
+
+  #usable(service: string): PlannedServer[] {
+    const {directory, clock} = this.parts;
+    const nowMs = clock.monotonicMs();
+    return directory.registry
+      .ofService(service)
+      .filter(
+        server => !server.isDraining && !this.reach.isLost(server.id, nowMs),
+      )
+      .map(server => this.#loads.planned(server));
+  }
+}
--- a/packages/gateway/src/ownership/peer-link.ts
+++ b/packages/gateway/src/ownership/peer-link.ts
@@ -1,10 +1,9 @@
 /** Link of this VM to the assigner. */
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
-import {describeError, gatewayMessageSchema} from '@wisteriarun/core';
 import type {GatewayMessage} from '@wisteriarun/core';
-import {encodeFrame, FrameDecoder} from '@wisteriarun/runtime';
 import type {Clock, Logger} from '@wisteriarun/runtime';
+import {encodeMessage, MessageDecoder} from './peer-frames.js';
 
 /** An open link: messages one way, and the time of the last one the other. */
 export class PeerLink {
@@ -30,20 +29,17 @@
   ) {
     const [host = '', port = ''] = address.split(':');
     this.#socket = connect({host, port: Number(port), noDelay: true});
-    const decoder = new FrameDecoder();
+    const decoder = new MessageDecoder();
     this.#socket.on('connect', () => this.send(hello));
     this.#socket.on('data', chunk => {
       this.#heardAtMs = clock.monotonicMs();
-      for (const frame of decoder.decode(chunk)) {
-        const message = frame.isOk
-          ? gatewayMessageSchema.safeParse(frame.value)
-          : null;
-        if (message === null || !message.success) {
+      for (const message of decoder.decode(chunk)) {
+        if (message === null) {
           logger.warn('peer-malformed', {peer: address});
           this.close();
           return;
         }
-        onMessage(message.data);
+        onMessage(message);
       }
     });
     this.#socket.on('error', error =>
@@ -70,13 +66,8 @@
    */
   send(message: GatewayMessage): void {
     if (!this.#isOpen) return;
-    encodeFrame(message).match({
-      Ok: frame => {
-        this.#socket.write(frame);
-      },
-      Err: error =>
-        this.logger.error('frame-refused', {cause: describeError(error)}),
-    });
+    const frame = encodeMessage(message, this.logger);
+    if (frame !== null) this.#socket.write(frame);
   }
 
   /** Closes the link. */
--- a/packages/gateway/src/ownership/peer-server.ts
+++ b/packages/gateway/src/ownership/peer-server.ts
@@ -1,10 +1,10 @@
 /** Links of the other VMs to the assigner. */
 import {createServer} from 'node:net';
 import type {Server, Socket} from 'node:net';
-import {describeError, gatewayMessageSchema} from '@wisteriarun/core';
 import type {GatewayMessage} from '@wisteriarun/core';
-import {Channel, encodeFrame, FrameDecoder} from '@wisteriarun/runtime';
+import {Channel} from '@wisteriarun/runtime';
 import type {Logger} from '@wisteriarun/runtime';
+import {encodeMessage, MessageDecoder} from './peer-frames.js';
 
 /** A link that takes no bytes for this much is cut. */
 const MAX_BACKLOG_BYTES = 4_194_304;
@@ -63,14 +63,11 @@
    */
   broadcast(message: GatewayMessage): void {
     if (this.#linked.size === 0) return;
-    const frame = encodeFrame(message);
-    if (frame.isErr) {
-      this.logger.error('frame-refused', {cause: describeError(frame.error)});
-      return;
-    }
+    const frame = encodeMessage(message, this.logger);
+    if (frame === null) return;
     for (const socket of this.#linked) {
       if (socket.writableLength > MAX_BACKLOG_BYTES) socket.destroy();
-      else socket.write(frame.value);
+      else socket.write(frame);
     }
   }
 
@@ -88,28 +85,20 @@
 
   #accept(socket: Socket): void {
     this.#sockets.add(socket);
-    const decoder = new FrameDecoder();
+    const decoder = new MessageDecoder();
     const reply = (message: GatewayMessage) => {
-      encodeFrame(message).match({
-        Ok: frame => {
-          socket.write(frame);
-        },
-        Err: error =>
-          this.logger.error('frame-refused', {cause: describeError(error)}),
-      });
+      const frame = encodeMessage(message, this.logger);
+      if (frame !== null) socket.write(frame);
     };
     socket.on('data', chunk => {
-      for (const frame of decoder.decode(chunk)) {
-        const message = frame.isOk
-          ? gatewayMessageSchema.safeParse(frame.value)
-          : null;
-        if (message === null || !message.success) {
+      for (const message of decoder.decode(chunk)) {
+        if (message === null) {
           this.logger.warn('peer-malformed', {peer: socket.remoteAddress});
           socket.destroy();
           return;
         }
-        if (message.data.kind === 'hello') this.#linked.add(socket);
-        this.#messages.emit({message: message.data, reply});
+        if (message.kind === 'hello') this.#linked.add(socket);
+        this.#messages.emit({message, reply});
       }
     });
     socket.on('error', error =>
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -1,6 +1,7 @@
 /** Moves key ranges between servers so that no two hold the same keys. */
 import type {
   GatewayServer,
+  HeldKeys,
   HoldLedger,
   KeyGranter,
   KeyRange,
@@ -166,25 +167,35 @@
     server: GatewayServer,
     handover: string | null,
   ): Promise<'granted' | 'fenced' | 'failed'> {
-    const {granter, ledger, reach, clock, holdMs} = this.parts;
-    const grant = {
-      fromKey: owner.fromKey,
-      toKey: owner.toKey,
-      fence: owner.fence,
-      holdMs,
-      handover,
-    };
+    const {reach, clock, holdMs} = this.parts;
     const held = {...owner, server: server.id, bornMs: server.bornMs};
+    const outcome = await this.#send(held, server.address, holdMs, handover);
+    if (outcome === 'failed') reach.failed(server.id, clock.monotonicMs());
+    else reach.answered(server.id);
+    return outcome;
+  }
+
+  /** Calls the server and records until when it may hold the keys. */
+  async #send(
+    held: HeldKeys,
+    address: string,
+    holdMs: number,
+    handover: string | null,
+  ): Promise<'granted' | 'fenced' | 'failed'> {
+    const {granter, ledger, clock} = this.parts;
+    const {fromKey, toKey, fence} = held;
     const pending = ledger.send(held, holdMs, clock.monotonicMs());
-    const answer = await granter.grant(server.address, grant, GRANT_TIMEOUT_MS);
+    const answer = await granter.grant(
+      address,
+      {fromKey, toKey, fence, holdMs, handover},
+      GRANT_TIMEOUT_MS,
+    );
     const nowMs = clock.monotonicMs();
     if (answer.isErr) {
-      reach.failed(server.id, nowMs);
       if (answer.error.kind === 'call-not-sent') pending.refused();
       else pending.unanswered(nowMs);
       return 'failed';
     }
-    reach.answered(server.id);
     if (answer.value !== 'granted') {
       pending.refused();
       return 'fenced';
@@ -252,21 +263,10 @@
     server: string,
     address: string,
   ): Promise<void> {
-    const {ledger, granter, clock} = this.parts;
+    const {ledger} = this.parts;
     if (!ledger.isUncertain(range.service, server, range)) return;
-    const fence = this.nextFence();
-    const grant = {...range, fence, holdMs: FENCE_HOLD_MS, handover: null};
-    const held = {...grant, server};
-    const pending = ledger.send(held, FENCE_HOLD_MS, clock.monotonicMs());
-    const answer = await granter.grant(address, grant, GRANT_TIMEOUT_MS);
-    const nowMs = clock.monotonicMs();
-    if (answer.isErr && answer.error.kind !== 'call-not-sent') {
-      pending.unanswered(nowMs);
-    } else if (answer.isOk && answer.value === 'granted') {
-      pending.granted(nowMs);
-    } else {
-      pending.refused();
-    }
+    const held = {...range, fence: this.nextFence(), server};
+    await this.#send(held, address, FENCE_HOLD_MS, null);
   }
 
   /** Ends when a server holds the keys; returns it. */
--- a/packages/gateway/src/ownership/table-publisher.ts
+++ b/packages/gateway/src/ownership/table-publisher.ts
@@ -63,13 +63,7 @@
 
   /** Whole table as the other VMs see it. */
   get view(): OwnershipView {
-    const {owners} = this.parts;
-    return {
-      term: this.term,
-      revision: this.#revision,
-      vmCount: this.#vmCount(),
-      ranges: owners.all(),
-    };
+    return this.#viewOf(this.parts.owners.all());
   }
 
   /**
@@ -90,12 +84,7 @@
    */
   show(ranges: readonly RangeOwner[]): void {
     this.#revision += 1;
-    const view: OwnershipView = {
-      term: this.term,
-      revision: this.#revision,
-      vmCount: this.#vmCount(),
-      ranges: [...ranges],
-    };
+    const view = this.#viewOf(ranges);
     this.parts.owners.change(view);
     this.parts.peers.broadcast({kind: 'change', view});
   }
@@ -157,17 +146,17 @@
 
   #adoptWhole(): void {
     const {owners, peers} = this.parts;
-    const view: OwnershipView = {
-      term: this.term,
-      revision: this.#revision,
-      vmCount: this.#vmCount(),
-      ranges: this.table.all(),
-    };
+    const view = this.#viewOf(this.table.all());
     owners.replace(view);
     peers.broadcast({kind: 'view', view});
   }
 
-  #vmCount(): number {
-    return this.parts.peers.linkCount + 1;
+  #viewOf(ranges: readonly RangeOwner[]): OwnershipView {
+    return {
+      term: this.term,
+      revision: this.#revision,
+      vmCount: this.parts.peers.linkCount + 1,
+      ranges: [...ranges],
+    };
   }
 }
