Send no grant to a server that may have been replaced at its address

A server crashed at 12.9 s and was back at 16.67 s with another id at the same address; its old entry was listed until 17.1 s, the new one came at 16.89 s. The assigner had tried the failed renewals again every 150 ms, and one reached the new server at 16.7 s with the fence that the old one had had. Ruled out: moves (none to that server in this time), a lost answer (the calls had no connection), the takeover (same term throughout). Change: a grant names the server that it is for, as requests do, so that another one refuses it; after a failed renewal each further one has a higher fence, and 0.7 s after the first failure none is sent until the server describes itself anew, unless the list of servers cannot be read.

--- a/packages/core/src/types/gateway-ports.ts
+++ b/packages/core/src/types/gateway-ports.ts
@@ -80,6 +80,8 @@
 
 /** A grant of keys to a server. */
 export interface KeyGrant {
+  /** Id of the server; another one that uses the address now refuses. */
+  readonly server: string;
   readonly fromKey: number;
   readonly toKey: number;
   readonly fence: number;
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -31,6 +31,8 @@
 const SETTLED_MS = 600;
 /** Time without an append after which the other VMs are told so. */
 const LOG_LOST_MS = 1_000;
+/** Age of the list of servers at which it shows nothing about their lives. */
+const SERVERS_STALE_MS = 800;
 /** Pause after an append that failed. */
 const APPEND_RETRY_MS = 200;
 
@@ -114,7 +116,15 @@
       mayGrant: () => this.#authority.mayGrant,
       quiesce: server => this.#renewals.quiesce(server),
     });
-    this.#renewals = new Renewals(this.#mover, clock, logger, holdMs);
+    this.#renewals = new Renewals(
+      this.#mover,
+      clock,
+      logger,
+      holdMs,
+      (server, sinceMs) =>
+        directory.heardAtMs(server) > sinceMs ||
+        parts.readState().serversAgeMs > SERVERS_STALE_MS,
+    );
     for (const server of directory.registry.servers.values()) {
       this.#addresses.set(server.id, server.address);
     }
@@ -359,7 +369,7 @@
   }
 
   #renew(): void {
-    const {publisher, directory} = this.parts;
+    const {publisher, directory, clock} = this.parts;
     const held = new Map<string, RangeOwner[]>();
     for (const range of publisher.table.all()) {
       if (range.moving || range.server === null) continue;
@@ -370,7 +380,10 @@
     for (const [id, ranges] of held) {
       const server = directory.registry.find(id);
       if (server === null) continue;
-      this.#renewals.renew(server, ranges, range => this.#onFenced(range));
+      const isAlive = this.#renewals.renew(server, ranges, range =>
+        this.#onFenced(range),
+      );
+      if (!isAlive) this.#reach.failed(id, clock.monotonicMs());
     }
   }
 
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -153,6 +153,18 @@
     void this.#settle(moving, null);
   }
 
+  /**
+   * Gives a range the next fence, for an owner that may have restarted.
+   *
+   * @param range - Range with its owner.
+   * @returns The range as it stands in the table now.
+   */
+  refence(range: RangeOwner): RangeOwner {
+    const owner = {...range, fence: this.nextFence()};
+    this.parts.publisher.table.assign(owner);
+    return owner;
+  }
+
   /**
    * Sends one grant and records what may follow from it.
    *
@@ -183,11 +195,11 @@
     handover: string | null,
   ): Promise<'granted' | 'fenced' | 'failed'> {
     const {granter, ledger, clock} = this.parts;
-    const {fromKey, toKey, fence} = held;
+    const {fromKey, toKey, fence, server} = held;
     const pending = ledger.send(held, holdMs, clock.monotonicMs());
     const answer = await granter.grant(
       address,
-      {fromKey, toKey, fence, holdMs, handover},
+      {server, fromKey, toKey, fence, holdMs, handover},
       GRANT_TIMEOUT_MS,
     );
     const nowMs = clock.monotonicMs();
--- a/packages/gateway/src/ownership/renewals.ts
+++ b/packages/gateway/src/ownership/renewals.ts
@@ -8,9 +8,19 @@
 /** Time after which a failed renewal is tried again. */
 const RETRY_MS = 150;
 
+/**
+ * Time for which renewals go on after a failed one without a sign of life. No
+ * server is back within it, so that none of them can reach a later one.
+ */
+const BLIND_MS = 700;
+/** A record that is read may have been written this long before. */
+const RECORD_LAG_MS = 1_000;
+
 interface Renewal {
   nextAtMs: number;
   running: Promise<void> | null;
+  /** First failure since the last success; null after a success. */
+  failingSinceMs: number | null;
 }
 
 /** Keeps a schedule for each server. */
@@ -23,38 +33,55 @@
    * @param clock - Clock of the process.
    * @param logger - Receives refused renewals.
    * @param holdMs - Time of one grant.
+   * @param wasHeard - Tells whether a server has described itself since a
+   * moment, or the log that would show it cannot be read.
    */
   constructor(
     private readonly mover: RangeMover,
     private readonly clock: Clock,
     private readonly logger: Logger,
     holdMs: number,
+    private readonly wasHeard: (server: string, sinceMs: number) => boolean,
   ) {
     this.#intervalMs = holdMs / RENEWALS_PER_HOLD;
   }
 
   /**
-   * Renews the grants of a server when it is time.
+   * Renews the grants of a server when it is time. After a failure the server
+   * may be gone and another one may use its address: its keys get a higher
+   * fence, and no more grants are sent until it shows that it lives.
    *
    * @param server - The server.
    * @param ranges - Ranges that it holds.
    * @param onFenced - Called for a range that another assigner has granted.
+   * @returns False while a sign of life is missing.
    */
   renew(
     server: GatewayServer,
     ranges: readonly RangeOwner[],
     onFenced: (range: RangeOwner) => void,
-  ): void {
+  ): boolean {
     const nowMs = this.clock.monotonicMs();
     let renewal = this.#servers.get(server.id);
     if (renewal === undefined) {
       // Spread over the interval, so that servers are not called in step.
       const nextAtMs = nowMs + Math.random() * this.#intervalMs;
-      renewal = {nextAtMs, running: null};
+      renewal = {nextAtMs, running: null, failingSinceMs: null};
       this.#servers.set(server.id, renewal);
     }
-    if (renewal.running !== null || nowMs < renewal.nextAtMs) return;
-    renewal.running = this.#run(renewal, server, ranges, onFenced);
+    if (renewal.running !== null || nowMs < renewal.nextAtMs) return true;
+    const {failingSinceMs} = renewal;
+    if (failingSinceMs === null) {
+      renewal.running = this.#run(renewal, server, ranges, onFenced);
+      return true;
+    }
+    const isBlind = nowMs - failingSinceMs > BLIND_MS;
+    if (isBlind && !this.wasHeard(server.id, failingSinceMs + RECORD_LAG_MS)) {
+      return false;
+    }
+    const fenced = ranges.map(range => this.mover.refence(range));
+    renewal.running = this.#run(renewal, server, fenced, onFenced);
+    return true;
   }
 
   /**
@@ -73,7 +100,11 @@
    * @param server - Id of the server.
    */
   hurry(server: string): void {
-    this.#servers.set(server, {nextAtMs: 0, running: null});
+    this.#servers.set(server, {
+      nextAtMs: 0,
+      running: null,
+      failingSinceMs: null,
+    });
   }
 
   async #run(
@@ -99,6 +130,9 @@
       }),
     );
     const isWhole = !outcomes.includes('failed');
+    renewal.failingSinceMs = isWhole
+      ? null
+      : (renewal.failingSinceMs ?? startedAtMs);
     renewal.nextAtMs = isWhole
       ? startedAtMs + this.#intervalMs
       : this.clock.monotonicMs() + RETRY_MS;
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -22,6 +22,7 @@
   readonly #changes = new Channel<ServerChange>();
   readonly #removals = new Map<string, NodeJS.Timeout>();
   readonly #leavingSinceMs = new Map<string, number>();
+  readonly #heardAtMs = new Map<string, number>();
   #isLoaded = false;
   #regainedAtMs = -Infinity;
   #isLost = false;
@@ -67,6 +68,16 @@
     return sinceMs === undefined ? 0 : this.clock.monotonicMs() - sinceMs;
   }
 
+  /**
+   * Tells when a server last described itself.
+   *
+   * @param id - Id of the server.
+   * @returns Monotonic time at which that was read; -Infinity when never.
+   */
+  heardAtMs(id: string): number {
+    return this.#heardAtMs.get(id) ?? -Infinity;
+  }
+
   /**
    * Adopts a change that another VM has read.
    *
@@ -128,6 +139,12 @@
   #describe(server: GatewayServer): void {
     const key = server.id;
     this.#keep(key);
+    const known = this.#registry.find(key);
+    const isNew =
+      known === null ||
+      server.bornMs > known.bornMs ||
+      (server.bornMs === known.bornMs && server.sequence > known.sequence);
+    if (isNew) this.#heardAtMs.set(key, this.clock.monotonicMs());
     if (this.#registry.describe(server) !== 'changed') return;
     if (!server.isDraining) this.#leavingSinceMs.delete(key);
     else if (!this.#leavingSinceMs.has(key)) {
@@ -169,6 +186,7 @@
     this.#removals.delete(id);
     this.#registry.remove(id);
     this.#leavingSinceMs.delete(id);
+    this.#heardAtMs.delete(id);
     this.logger.info('server-gone', {server: id});
     this.#changes.emit({kind: 'server-gone', id});
   }
--- /dev/null
+++ b/packages/gateway/test/renewals.test.ts
@@ -0,0 +1,104 @@
+import type {GatewayServer, RangeOwner} from '@wisteriarun/core';
+import {createLogger} from '@wisteriarun/runtime';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {RangeMover} from '../src/ownership/range-mover.js';
+import {Renewals} from '../src/ownership/renewals.js';
+
+const HOLD_MS = 4_000;
+const SERVER: GatewayServer = {
+  id: 'i-1',
+  address: '10.0.0.1:80',
+  service: 'records',
+  zone: 'a',
+  slots: 3,
+  isDraining: false,
+  warmupLeftMs: 0,
+  bornMs: 1,
+  sequence: 1,
+};
+const RANGE: RangeOwner = {
+  service: 'records',
+  fromKey: 0,
+  toKey: 9,
+  server: 'i-1',
+  former: null,
+  bornMs: 1,
+  fence: 1,
+  moving: false,
+};
+
+// OWNER on scale-2 --seed 161551318495 of eslabon-gw: renewals to a server that
+// had crashed were tried until one reached its successor at the same address,
+// with a fence that the crashed server had had.
+describe('renewals after a failure', () => {
+  let nowMs = 0;
+  let heardAtMs = -Infinity;
+  let outcome: 'granted' | 'failed' = 'granted';
+  let sent: number[] = [];
+  let nextFence = 100;
+  let renewals: Renewals;
+
+  beforeEach(() => {
+    nowMs = 0;
+    heardAtMs = -Infinity;
+    outcome = 'granted';
+    sent = [];
+    const mover = {
+      refence: (range: RangeOwner) => ({...range, fence: (nextFence += 1)}),
+      grant: (range: RangeOwner) => {
+        sent.push(range.fence);
+        return Promise.resolve(outcome);
+      },
+    } as unknown as RangeMover;
+    renewals = new Renewals(
+      mover,
+      {monotonicMs: () => nowMs, wallMs: () => nowMs},
+      createLogger({level: 'error', process: 'test', zone: 'a'}),
+      HOLD_MS,
+      (_, sinceMs) => heardAtMs > sinceMs,
+    );
+    renewals.hurry('i-1');
+  });
+
+  /** Runs the schedule in steps of 100 ms; returns whether it went on. */
+  async function run(untilMs: number): Promise<boolean> {
+    let goesOn = true;
+    for (; nowMs < untilMs; nowMs += 100) {
+      goesOn = renewals.renew(SERVER, [RANGE], () => {});
+      await renewals.quiesce('i-1');
+    }
+    return goesOn;
+  }
+
+  it('use the same fence while all of them succeed', async () => {
+    await run(3_500);
+    expect(sent).toEqual([1, 1, 1, 1]);
+  });
+
+  it('use a higher fence each time, and end without a sign of life', async () => {
+    outcome = 'failed';
+    expect(await run(5_000)).toBe(false);
+    expect(sent[0]).toBe(1);
+    const later = sent.slice(1);
+    expect(later.length).toBeGreaterThan(0);
+    for (const fence of later) expect(fence).toBeGreaterThan(100);
+    expect(new Set(later).size).toBe(later.length);
+    const count = sent.length;
+    // A description that may have been written before the failure is no sign.
+    heardAtMs = 900;
+    await run(6_000);
+    expect(sent.length).toBe(count);
+  });
+
+  it('go on after a sign of life, and are as before after a success', async () => {
+    outcome = 'failed';
+    await run(5_000);
+    heardAtMs = 4_000;
+    outcome = 'granted';
+    const count = sent.length;
+    expect(await run(9_000)).toBe(true);
+    const later = sent.slice(count);
+    expect(later[0]).toBeGreaterThan(100);
+    expect(later.slice(1)).toEqual([1, 1, 1]);
+  });
+});
--- a/testing/standins/src/platform/key-server.ts
+++ b/testing/standins/src/platform/key-server.ts
@@ -124,6 +124,11 @@
     response: ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = performance.now();
+    const expected = request.headers['expect-instance'];
+    if (expected !== undefined && expected !== this.#options.id) {
+      sendJson(response, 421, {});
+      return;
+    }
     const {from, to, fence, hold_time} = (await readJson(request)) as {
       from: number;
       to: number;
