--- a/packages/ctl/src/commands/logs.ts
+++ b/packages/ctl/src/commands/logs.ts
@@ -28,7 +28,8 @@
     // Requests are many; they are shown when they are asked for.
     (event === undefined ? line.event !== 'request' : line.event === event) &&
     (server === undefined ||
-      SERVER_FIELDS.some(name => fields[name] === server)) &&
+      SERVER_FIELDS.some(name => fields[name] === server) ||
+      (fields['attempts'] ?? '').includes(`${server}:`)) &&
     (key === undefined || (fromKey <= key && key <= toKey))
   );
 }
--- a/packages/ctl/src/request-story.ts
+++ b/packages/ctl/src/request-story.ts
@@ -65,10 +65,12 @@
   readonly before: readonly LogLine[];
 }
 
-function coversKey(line: LogLine, key: number | null): boolean {
-  if (!line.event.startsWith('range-mov') || key === null) return false;
-  const {from_key: fromKey, to_key: toKey} = line.fields;
-  return Number(fromKey) <= key && key <= Number(toKey);
+function movesKey({event, fields}: LogLine, request: LogLine): boolean {
+  const {key = '', service} = request.fields;
+  if (!event.startsWith('range-mov') || !/^\d+$/.test(key)) return false;
+  if (fields['service'] !== service) return false;
+  const {from_key: fromKey, to_key: toKey} = fields;
+  return Number(fromKey) <= Number(key) && Number(key) <= Number(toKey);
 }
 
 /**
@@ -86,13 +88,12 @@
   return lines
     .filter(({event, fields}) => event === 'request' && fields['id'] === id)
     .map(request => {
-      const {key: keyText, cause = '', attempts = ''} = request.fields;
-      const key = /^\d+$/.test(keyText ?? '') ? Number(keyText) : null;
+      const {cause = '', attempts = ''} = request.fields;
       const servers = new Set(
         attempts.split(',').map(attempt => attempt.split(':')[0] ?? ''),
       );
       const isRelated = (line: LogLine) =>
-        coversKey(line, key) ||
+        movesKey(line, request) ||
         ASSIGNMENT_EVENTS.has(line.event) ||
         (line.event.startsWith('server-') &&
           servers.has(line.fields['server'] ?? '')) ||
--- a/packages/ctl/test/logs.test.ts
+++ b/packages/ctl/test/logs.test.ts
@@ -10,10 +10,10 @@
   'time=2026-03-01T10:00:01.000Z event=server-changed level=info process=vm-1 zone=a server=i-9 draining=true',
   'time=2026-03-01T10:00:01.100Z event=server-changed level=info process=vm-2 zone=b server=i-9 draining=true',
   'time=2026-03-01T10:00:02.000Z event=range-moved level=info process=vm-1 zone=a service=records from_key=10 to_key=20 from=i-9 to=i-8 reason=leaving handover=true took_ms=500',
-  '   2.2000 vm-2 time=2026-03-01T10:00:02.100Z event=request level=info process=vm-2 zone=b id=abc route=r-1 key=15 outcome=refused status=503 cause=moving took_ms=300 attempts=""',
-  'time=2026-03-01T10:00:02.200Z event=request level=info process=vm-2 zone=b id=def route=r-1 key=99 outcome=refused status=502 cause=connection-lost took_ms=80 attempts=i-9:unknown:connection-lost',
+  '   2.2000 vm-2 time=2026-03-01T10:00:02.100Z event=request level=info process=vm-2 zone=b id=abc route=r-1 service=records key=15 outcome=refused status=503 cause=moving took_ms=300 attempts=""',
+  'time=2026-03-01T10:00:02.200Z event=request level=info process=vm-2 zone=b id=def route=r-1 service=audio key=15 outcome=refused status=502 cause=connection-lost took_ms=80 attempts=i-9:unknown:connection-lost',
   'time=2026-03-01T10:00:02.150Z event=log-lost level=warn process=vm-1 zone=a log=servers cause="down \\"now\\""',
-  'time=2026-03-01T10:00:02.210Z event=request level=info process=vm-2 zone=b id=ghi route=r-1 key=12 outcome=answered status=200 cause=null took_ms=450 objective_ms=250 held_ms=290 attempts=i-8:answered',
+  'time=2026-03-01T10:00:02.210Z event=request level=info process=vm-2 zone=b id=ghi route=r-1 service=records key=12 outcome=answered status=200 cause=null took_ms=450 objective_ms=250 held_ms=290 attempts=i-8:answered',
   'not a line of ours',
 ];
 
@@ -67,7 +67,8 @@
     [['--event', 'request'], 3],
     [['--server', 'i-8'], 1],
     [['--key', '15'], 1],
-    [['--key', '15', '--event', 'request'], 1],
+    [['--key', '15', '--event', 'request'], 2],
+    [['--server', 'i-9', '--event', 'request'], 1],
     [['--from', '2026-03-01T10:00:02Z'], 2],
     [['--to', '2026-03-01T10:00:01Z'], 2],
   ])('filter by %j', async (options, count) => {
--- a/packages/gateway/src/entry/exchange.ts
+++ b/packages/gateway/src/entry/exchange.ts
@@ -38,6 +38,8 @@
 /** Answers one request exactly once and logs how it ended. */
 export class Exchange implements AnswerSink {
   route: GatewayRoute | null = null;
+  /** Name of the service that the route led to. */
+  service: string | null = null;
   body: Extract<CallerBody, {kind: 'held' | 'streamed'}> = {
     kind: 'held',
     bytes: null,
@@ -255,6 +257,7 @@
     log.write(() => ({
       id: singleHeader(this.request.headers, this.names.requestId),
       route: this.route?.name,
+      service: this.service ?? undefined,
       key: singleHeader(this.request.headers, this.names.key),
       outcome,
       status,
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -171,6 +171,7 @@
     const statedMs = parseCount(singleHeader(headers, names.deadline));
     const waitMs = Math.min(statedMs ?? Infinity, route.timeoutMs);
     exchange.route = route;
+    exchange.service = serviceName;
     return {
       exchange,
       route,
