--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -381,17 +381,18 @@
       const server = directory.registry.find(id);
       if (server === null) continue;
       const isAlive = this.#renewals.renew(server, ranges, range =>
-        this.#onFenced(range),
+        this.#onRefused(range),
       );
       if (!isAlive) this.#reach.failed(id, clock.monotonicMs());
     }
   }
 
   /**
-   * Either another VM was elected, or a late grant has used a higher fence. The
-   * log tells; until it does, no more grants are sent.
+   * Another VM was elected, a late grant has used a higher fence, or another
+   * server uses the address. The log tells whether this VM is still elected;
+   * until it does, no more grants are sent.
    */
-  #onFenced(range: RangeOwner): void {
+  #onRefused(range: RangeOwner): void {
     const {publisher} = this.parts;
     const present = publisher.table.find(range.service, range.fromKey);
     if (present?.fence !== range.fence || present.moving) return;
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -37,6 +37,12 @@
  */
 export type MoveReason = 'draining' | 'gone' | 'lost' | 'balance' | 'takeover';
 
+/**
+ * How a grant ended: the server holds the keys, has seen a higher fence, is
+ * another one than the grant names, or did not answer.
+ */
+export type GrantResult = 'granted' | 'fenced' | 'refused' | 'failed';
+
 /** Parts that the mover works with. */
 export interface MoverParts {
   readonly publisher: TablePublisher;
@@ -171,14 +177,13 @@
    * @param owner - Range with its owner.
    * @param server - The owner.
    * @param handover - Token of the former owner; null without one.
-   * @returns Whether the server holds the keys, was fenced off, or did not
-   * answer.
+   * @returns How it ended.
    */
   async grant(
     owner: RangeOwner,
     server: GatewayServer,
     handover: string | null,
-  ): Promise<'granted' | 'fenced' | 'failed'> {
+  ): Promise<GrantResult> {
     const {reach, clock, holdMs} = this.parts;
     const held = {...owner, server: server.id, bornMs: server.bornMs};
     const outcome = await this.#send(held, server.address, holdMs, handover);
@@ -193,7 +198,7 @@
     address: string,
     holdMs: number,
     handover: string | null,
-  ): Promise<'granted' | 'fenced' | 'failed'> {
+  ): Promise<GrantResult> {
     const {granter, ledger, clock} = this.parts;
     const {fromKey, toKey, fence, server} = held;
     const pending = ledger.send(held, holdMs, clock.monotonicMs());
@@ -210,7 +215,7 @@
     }
     if (answer.value !== 'granted') {
       pending.refused();
-      return 'fenced';
+      return answer.value === 'fenced' ? 'fenced' : 'refused';
     }
     pending.granted(nowMs);
     return 'granted';
@@ -356,7 +361,7 @@
         publisher.decide({...owner, former: null, moving: false});
         return true;
       }
-      if (outcome === 'fenced') return false;
+      if (outcome !== 'failed') return false;
       await delay(RETRY_MS);
     }
     return false;
--- a/packages/gateway/src/ownership/renewals.ts
+++ b/packages/gateway/src/ownership/renewals.ts
@@ -53,13 +53,14 @@
    *
    * @param server - The server.
    * @param ranges - Ranges that it holds.
-   * @param onFenced - Called for a range that another assigner has granted.
+   * @param onRefused - Called for a range that another assigner has granted, or
+   * whose server has been replaced at its address.
    * @returns False while a sign of life is missing.
    */
   renew(
     server: GatewayServer,
     ranges: readonly RangeOwner[],
-    onFenced: (range: RangeOwner) => void,
+    onRefused: (range: RangeOwner) => void,
   ): boolean {
     const nowMs = this.clock.monotonicMs();
     let renewal = this.#servers.get(server.id);
@@ -72,7 +73,7 @@
     if (renewal.running !== null || nowMs < renewal.nextAtMs) return true;
     const {failingSinceMs} = renewal;
     if (failingSinceMs === null) {
-      renewal.running = this.#run(renewal, server, ranges, onFenced);
+      renewal.running = this.#run(renewal, server, ranges, onRefused);
       return true;
     }
     const isBlind = nowMs - failingSinceMs > BLIND_MS;
@@ -80,7 +81,7 @@
       return false;
     }
     const fenced = ranges.map(range => this.mover.refence(range));
-    renewal.running = this.#run(renewal, server, fenced, onFenced);
+    renewal.running = this.#run(renewal, server, fenced, onRefused);
     return true;
   }
 
@@ -111,20 +112,20 @@
     renewal: Renewal,
     server: GatewayServer,
     ranges: readonly RangeOwner[],
-    onFenced: (range: RangeOwner) => void,
+    onRefused: (range: RangeOwner) => void,
   ): Promise<void> {
     const startedAtMs = this.clock.monotonicMs();
     const outcomes = await Promise.all(
       ranges.map(async range => {
         const outcome = await this.mover.grant(range, server, null);
-        if (outcome === 'fenced') {
-          this.logger.warn('renewal-fenced', {
+        if (outcome === 'fenced' || outcome === 'refused') {
+          this.logger.warn(`renewal-${outcome}`, {
             server: server.id,
             from_key: range.fromKey,
             to_key: range.toKey,
             fence: range.fence,
           });
-          onFenced(range);
+          onRefused(range);
         }
         return outcome;
       }),
