--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -13,6 +13,7 @@
 import type {BundleHolder} from '../store/bundle-holder.js';
 import type {ServerChange, ServerDirectory} from '../store/server-directory.js';
 import type {PeerServer} from './peer-server.js';
+import {AddressBook} from './address-book.js';
 import {Authority, AUTHORITY_MS} from './authority.js';
 import {Balancer} from './balancer.js';
 import {cutRange, RangeMover} from './range-mover.js';
@@ -73,7 +74,7 @@
   readonly #reach = new ServerReach();
   readonly #balancer: Balancer;
   readonly #authority: Authority;
-  readonly #addresses = new Map<string, string>();
+  readonly #addresses = new AddressBook();
   readonly #mover: RangeMover;
   readonly #renewals: Renewals;
   readonly #timer: NodeJS.Timeout;
@@ -108,7 +109,7 @@
       logger,
       holdMs,
       usable: server => this.#usable(server),
-      addressOf: server => this.#addresses.get(server) ?? null,
+      addressOf: server => this.#addresses.of(server),
       place: range => {
         const [move] = this.#balancer.planner(range.service).place([range]);
         return move === undefined ? null : this.#usable(move.to);
@@ -126,7 +127,7 @@
         parts.readState().serversAgeMs > SERVERS_STALE_MS,
     );
     for (const server of directory.registry.servers.values()) {
-      this.#addresses.set(server.id, server.address);
+      this.#addresses.note(server);
     }
     if (former !== null) this.#takeOver(former, nowMs);
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
@@ -152,7 +153,7 @@
     peers.broadcast(change);
     if (change.kind === 'server') {
       const {server} = change;
-      this.#addresses.set(server.id, server.address);
+      this.#addresses.note(server);
       this.#ledger.restarted(server.id, server.bornMs);
       this.#endFormerTenants(server);
     }
@@ -243,12 +244,9 @@
   #endFormerTenants(server: GatewayServer): void {
     // Anyone may write an entry; one of no known service proves nothing.
     if (this.parts.bundles.service(server.service) === null) return;
-    for (const [id, address] of this.#addresses) {
-      if (id === server.id || address !== server.address) continue;
-      const listed = this.parts.directory.registry.find(id);
-      if (listed !== null && listed.bornMs >= server.bornMs) continue;
+    const {registry} = this.parts.directory;
+    for (const id of this.#addresses.replaceTenants(server, registry)) {
       this.#ledger.restarted(id, Infinity);
-      this.#addresses.delete(id);
     }
   }
 
