Remove servers that the assigner's list lacks

The list that it got with its new link lacked the server, but lists only added servers; its own image of the log came a second later and waited 2 s more for entries that may come back. Change: the list states its age, and one of at most 1 s removes what it lacks: the assigner has waited for entries that may come back itself.

--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -185,7 +185,12 @@
     bundlesOffset: z.int(),
   }),
   /** All servers that the assigner knows. */
-  z.object({kind: z.literal('servers'), servers: z.array(gatewayServerSchema)}),
+  z.object({
+    kind: z.literal('servers'),
+    servers: z.array(gatewayServerSchema),
+    /** Time since it last read the log of servers. */
+    ageMs: z.number(),
+  }),
   /** A server that changed. */
   z.object({kind: z.literal('server'), server: gatewayServerSchema}),
   /** A server that is gone. */
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -28,6 +28,8 @@
 const REPLACE_LOGLESS_MS = 400;
 /** Elections are spread over this time, so that one VM comes first. */
 const ELECTION_SPREAD_MS = 250;
+/** Age up to which the assigner's list shows which servers are gone. */
+const FRESH_SERVERS_MS = 1_000;
 /** Interval between two tries to link to the assigner. */
 const RELINK_MS = 500;
 
@@ -88,7 +90,8 @@
         const view = this.#publisher?.view;
         if (view !== undefined) reply({kind: 'view', view});
         const servers = [...parts.directory.registry.servers.values()];
-        reply({kind: 'servers', servers});
+        const {serversAgeMs: ageMs} = parts.readState();
+        reply({kind: 'servers', servers, ageMs});
         const records = parts.crashes.export(parts.clock.monotonicMs());
         if (records.length > 0) reply({kind: 'crashes', records});
       }
@@ -296,9 +299,7 @@
         this.#assignerReadsAtMs = clock.monotonicMs();
         break;
       case 'servers':
-        for (const server of message.servers) {
-          directory.adopt({kind: 'server', server});
-        }
+        directory.adoptAll(message.servers, message.ageMs < FRESH_SERVERS_MS);
         break;
       case 'server':
       case 'server-gone':
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -88,6 +88,22 @@
     else if (this.#registry.find(change.id) !== null) this.#drop(change.id);
   }
 
+  /**
+   * Adopts all servers that the assigner knows.
+   *
+   * @param servers - The servers.
+   * @param isWhole - Whether servers that are not among them are gone; the
+   * assigner has waited for those that may come back.
+   */
+  adoptAll(servers: readonly GatewayServer[], isWhole: boolean): void {
+    for (const server of servers) this.#describe(server);
+    if (!isWhole) return;
+    const listed = new Set(servers.map(({id}) => id));
+    for (const id of [...this.#registry.servers.keys()]) {
+      if (!listed.has(id)) this.#drop(id);
+    }
+  }
+
   /** Stops all timers. */
   close(): void {
     for (const timer of this.#removals.values()) clearTimeout(timer);
@@ -183,7 +199,7 @@
   }
 
   #drop(id: string): void {
-    this.#removals.delete(id);
+    this.#keep(id);
     this.#registry.remove(id);
     this.#leavingSinceMs.delete(id);
     this.#heardAtMs.delete(id);
