--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -5,6 +5,12 @@
 /** Number of keys of a service that is divided by key. */
 export const KEY_COUNT = 65_536;
 
+/**
+ * Fences of one term, which follow each other from term * FENCES_PER_TERM on; a
+ * term is an offset, which leaves room for 2^33.
+ */
+export const FENCES_PER_TERM = 2 ** 20;
+
 /**
  * What may be repeated: `safe` requests may run more than once; `unsafe` ones
  * and `upload`s, which have large bodies, run at most once.
--- a/packages/ctl/src/commands/vm.ts
+++ b/packages/ctl/src/commands/vm.ts
@@ -1,5 +1,5 @@
 /** `vm`: what the entry VMs of a platform believe, read from themselves. */
-import {vmStateSchema} from '@wisteriarun/core';
+import {FENCES_PER_TERM, vmStateSchema} from '@wisteriarun/core';
 import type {RangeOwner, VmState} from '@wisteriarun/core';
 import {request} from 'undici';
 import type {CliEnvironment} from '../environment.js';
@@ -9,8 +9,6 @@
 
 /** A VM that does not answer within this time is reported as such. */
 const TIMEOUT_MS = 3_000;
-/** Fences of one term; what is above them is the term. */
-const FENCES_PER_TERM = 2 ** 20;
 
 /** Options of all `vm` commands. */
 export interface VmOptions {
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -1,4 +1,5 @@
 /** Moves key ranges between servers so that no two hold the same keys. */
+import {FENCES_PER_TERM} from '@wisteriarun/core';
 import type {
   GatewayServer,
   HeldKeys,
@@ -28,8 +29,6 @@
 const MAX_GRANT_TRIES = 3;
 /** Time of a grant that only raises the fence of a server. */
 const FENCE_HOLD_MS = 500;
-/** Fences of one term; a term is an offset, which leaves room for 2^33. */
-const FENCES_PER_TERM = 2 ** 20;
 
 /**
  * Why keys change hands: their owner leaves, is not listed any more or does not
--- a/packages/gateway/test/crash-watch.test.ts
+++ b/packages/gateway/test/crash-watch.test.ts
@@ -1,25 +1,10 @@
-import type {GatewayServer} from '@wisteriarun/core';
 import {createLogger} from '@wisteriarun/runtime';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {CrashWatch} from '../src/entry/crash-watch.js';
+import {gatewayServer} from './fixtures.js';
 
 const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
 
-function server(id: string, more: Partial<GatewayServer> = {}): GatewayServer {
-  return {
-    id,
-    address: '10.0.0.1:80',
-    service: 'records',
-    zone: 'a',
-    slots: 3,
-    isDraining: false,
-    warmupLeftMs: 0,
-    bornMs: 1_000,
-    sequence: 1,
-    ...more,
-  };
-}
-
 const request = (path: string) => ({
   idempotencyKey: null,
   service: 'records',
@@ -37,9 +22,9 @@
 
   /** The request is lost at a server, which is found restarted after that. */
   function crash(id: string, path: string, atMs: number) {
-    watch.lost(server(id), request(path), atMs);
+    watch.lost(gatewayServer(id), request(path), atMs);
     return watch.serverChanged(
-      {kind: 'server', server: server(id, {bornMs: 2_000})},
+      {kind: 'server', server: gatewayServer(id, {bornMs: 2_000})},
       atMs + 1_000,
     );
   }
@@ -57,7 +42,7 @@
 
   it('counts servers that vanish', () => {
     for (const id of ['s1', 's2', 's3']) {
-      watch.lost(server(id), request('/poison'), 0);
+      watch.lost(gatewayServer(id), request('/poison'), 0);
       watch.serverChanged({kind: 'server-gone', id}, 3_000);
     }
     expect(isRefused('/poison')).toBe(true);
@@ -72,11 +57,11 @@
   });
 
   it.each([
-    ['the server only changed', server('s1', {slots: 4})],
-    ['the server leaves', server('s1', {isDraining: true})],
+    ['the server only changed', gatewayServer('s1', {slots: 4})],
+    ['the server leaves', gatewayServer('s1', {isDraining: true})],
   ])('is not counted when %s', (_, changed) => {
     for (let times = 0; times < 3; times += 1) {
-      watch.lost(server('s1'), request('/read'), 0);
+      watch.lost(gatewayServer('s1'), request('/read'), 0);
       watch.serverChanged({kind: 'server', server: changed}, 500);
     }
     expect(isRefused('/read')).toBe(false);
@@ -84,7 +69,7 @@
 
   it('is not counted when the server left before it was removed', () => {
     for (const id of ['s1', 's2', 's3']) {
-      const leaving = server(id, {isDraining: true});
+      const leaving = gatewayServer(id, {isDraining: true});
       watch.serverChanged({kind: 'server', server: leaving}, 0);
       watch.lost(leaving, request('/read'), 1_000);
       watch.serverChanged({kind: 'server-gone', id}, 2_000);
@@ -94,7 +79,7 @@
 
   it('is not counted when the crash comes long after', () => {
     for (const id of ['s1', 's2', 's3']) {
-      watch.lost(server(id), request('/read'), 0);
+      watch.lost(gatewayServer(id), request('/read'), 0);
       watch.serverChanged({kind: 'server-gone', id}, 7_000);
     }
     expect(isRefused('/read')).toBe(false);
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -14,7 +14,6 @@
 import {KeyServer, PlatformStore} from '@wisteriarun/standins';
 import type {KeyServerOptions} from '@wisteriarun/standins';
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {request} from 'undici';
 
 const HEARTBEAT_MS = 200;
@@ -258,23 +257,30 @@
   }
 }
 
-/** Finds ports that nothing listens on. */
+/** Ports below those that the kernel gives to connections. */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 20_000;
+const FREE_PORT_TRIES = 50;
+
+/**
+ * Finds ports that nothing listens on. They are taken from a range that no
+ * connection uses: one of another test could take a port between this search
+ * and the start of the gateway.
+ */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      server =>
-        new Promise<number>(resolve =>
-          server.listen(0, '127.0.0.1', () =>
-            resolve((server.address() as AddressInfo).port),
-          ),
-        ),
-    ),
-  );
-  await Promise.all(
-    servers.map(
-      server => new Promise<void>(resolve => server.close(() => resolve())),
-    ),
-  );
-  return ports;
+  const ports = new Set<number>();
+  for (let tries = 0; ports.size < count; tries += 1) {
+    if (tries > FREE_PORT_TRIES * count) throw new Error('no free ports');
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (await isFree(port)) ports.add(port);
+  }
+  return [...ports];
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
--- a/packages/gateway/test/renewals.test.ts
+++ b/packages/gateway/test/renewals.test.ts
@@ -1,21 +1,12 @@
-import type {GatewayServer, RangeOwner} from '@wisteriarun/core';
+import type {RangeOwner} from '@wisteriarun/core';
 import {createLogger} from '@wisteriarun/runtime';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {RangeMover} from '../src/ownership/range-mover.js';
 import {Renewals} from '../src/ownership/renewals.js';
+import {gatewayServer} from './fixtures.js';
 
 const HOLD_MS = 4_000;
-const SERVER: GatewayServer = {
-  id: 'i-1',
-  address: '10.0.0.1:80',
-  service: 'records',
-  zone: 'a',
-  slots: 3,
-  isDraining: false,
-  warmupLeftMs: 0,
-  bornMs: 1,
-  sequence: 1,
-};
+const SERVER = gatewayServer('i-1');
 const RANGE: RangeOwner = {
   service: 'records',
   fromKey: 0,
--- a/packages/gateway/test/server-directory.test.ts
+++ b/packages/gateway/test/server-directory.test.ts
@@ -1,22 +1,10 @@
-import type {GatewayServer} from '@wisteriarun/core';
 import {PLATFORM_CODEC} from '@wisteriarun/platform';
 import {createLogger, SystemClock} from '@wisteriarun/runtime';
 import {never} from 'most';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import type {LogFollower} from '../src/store/log-follower.js';
 import {ServerDirectory} from '../src/store/server-directory.js';
-
-const server = (id: string): GatewayServer => ({
-  id,
-  address: '10.0.0.1:80',
-  service: 'audio',
-  zone: 'a',
-  slots: 3,
-  isDraining: false,
-  warmupLeftMs: 0,
-  bornMs: 1,
-  sequence: 1,
-});
+import {gatewayServer} from './fixtures.js';
 
 // DRAIN on scale-2 --seed 290295215848 of eslabon-gw: a VM that had been cut off
 // kept a server that left meanwhile, although the assigner's list lacked it.
@@ -30,7 +18,7 @@
       new SystemClock(),
       createLogger({level: 'error', process: 'test', zone: 'a'}),
     );
-    directory.adoptAll([server('i-1'), server('i-2')], true);
+    directory.adoptAll([gatewayServer('i-1'), gatewayServer('i-2')], true);
   });
 
   afterEach(() => directory.close());
@@ -42,13 +30,13 @@
     void directory.changes.stream.observe(change => {
       if (change.kind === 'server-gone') gone.push(change.id);
     });
-    directory.adoptAll([server('i-2'), server('i-3')], true);
+    directory.adoptAll([gatewayServer('i-2'), gatewayServer('i-3')], true);
     expect(ids()).toEqual(['i-2', 'i-3']);
     expect(gone).toEqual(['i-1']);
   });
 
   it('removes none when it is old itself', () => {
-    directory.adoptAll([server('i-3')], false);
+    directory.adoptAll([gatewayServer('i-3')], false);
     expect(ids()).toEqual(['i-1', 'i-2', 'i-3']);
   });
 });
