--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -36,7 +36,6 @@
   #closed = false;
   #isLost = false;
   #contactAtMs: number | null = null;
-  #failedAtMs: number | null = null;
 
   /**
    * @param log - The platform's log.
@@ -58,11 +57,6 @@
     return this.#channel.stream;
   }
 
-  /** Monotonic time of the last answer; null before the first. */
-  get contactAtMs(): number | null {
-    return this.#contactAtMs;
-  }
-
   /** Milliseconds since the last answer; infinite before the first. */
   get ageMs(): number {
     if (this.#contactAtMs === null) return Infinity;
@@ -74,11 +68,6 @@
     return this.#offset;
   }
 
-  /** Monotonic time of the last failure; null before the first. */
-  get failedAtMs(): number | null {
-    return this.#failedAtMs;
-  }
-
   /** Starts to read. */
   start(): void {
     void this.#run();
@@ -139,7 +128,6 @@
   }
 
   #lost(cause: string): false {
-    this.#failedAtMs = this.clock.monotonicMs();
     if (!this.#isLost) {
       this.#isLost = true;
       this.logger.warn('log-lost', {log: this.name, cause});
