Log what a new assigner takes over, and how long requests went unread

A new assigner logs 'takeover' with the owners that its list of servers lacks, a range that waits for a former owner logs 'range-waits' with the time, a VM logs 'owners-unlisted' when its list lacks owners of the table. Request lines tell with 'unread_ms' how long the head may have waited to be read. The stall watch moves to the runtime package, since the daemon needs it too.

--- a/packages/gateway/src/entry/exchange.ts
+++ b/packages/gateway/src/entry/exchange.ts
@@ -26,6 +26,8 @@
 /** Parts that an exchange works with. */
 export interface ExchangeParts {
   readonly startedAtMs: number;
+  /** Longest time that the head may have waited before it was read. */
+  readonly unreadMs: number;
   readonly clock: Clock;
   readonly log: RequestLog;
   readonly meter: RequestMeter;
@@ -248,7 +250,7 @@
   }
 
   #log(outcome: string, status: number, cause: string | null): void {
-    const {clock, log, meter, versions} = this.parts;
+    const {clock, log, meter, unreadMs, versions} = this.parts;
     const nowMs = clock.monotonicMs();
     const tookMs = nowMs - this.startedAtMs;
     meter.record(this.route?.kind ?? 'none', outcome, cause ?? '', tookMs);
@@ -263,6 +265,7 @@
       status,
       cause,
       took_ms: Math.round(tookMs),
+      unread_ms: Math.round(unreadMs),
       objective_ms: this.route?.objectiveMs,
       // Time in this VM before the first attempt; all of it without one.
       held_ms: Math.round((this.#sentAtMs ?? nowMs) - this.startedAtMs),
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -7,11 +7,10 @@
   GatewayHeaders,
   GatewayRoute,
 } from '@wisteriarun/core';
-import type {Clock} from '@wisteriarun/runtime';
+import {pendingEvents} from '@wisteriarun/runtime';
+import type {Clock, StallWatch} from '@wisteriarun/runtime';
 import type {OwnerView} from '../ownership/owner-view.js';
 import type {BundleHolder} from '../store/bundle-holder.js';
-import {pendingEvents} from '../utils/stall-watch.js';
-import type {StallWatch} from '../utils/stall-watch.js';
 import {Attempt} from './attempt.js';
 import type {AttemptOutcome} from './attempt.js';
 import {readBody} from './caller-body.js';
@@ -109,9 +108,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const {bundles, owners, names, clock, log, meter} = this.parts;
+    const {bundles, owners, names, clock, log, meter, stalls} = this.parts;
     const exchange = new Exchange(request, response, names, {
       startedAtMs: clock.monotonicMs(),
+      unreadMs: stalls.unhandledMs,
       clock,
       log,
       meter,
@@ -130,7 +130,7 @@
       exchange.reject(404, 'no-route');
       return;
     }
-    if (this.parts.stalls.isStalled) {
+    if (stalls.isStalled) {
       // Callers that have left meanwhile are known only after this turn.
       await pendingEvents();
       if (exchange.isGone) return exchange.abandon('caller-gone');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
   KeyGranter,
   VmState,
 } from '@wisteriarun/core';
-import {Metrics} from '@wisteriarun/runtime';
+import {Metrics, StallWatch} from '@wisteriarun/runtime';
 import type {Clock, Logger} from '@wisteriarun/runtime';
 import {CrashWatch} from './entry/crash-watch.js';
 import {CallerIngress, StatusIngress} from './entry/ingress.js';
@@ -26,7 +26,6 @@
 import {LogFollower} from './store/log-follower.js';
 import {ServerDirectory} from './store/server-directory.js';
 import {delay} from './utils/delay.js';
-import {StallWatch} from './utils/stall-watch.js';
 
 /**
  * Wait of a read of bundles, as a share of the time within which they are in
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -238,6 +238,22 @@
       }
     }
     publisher.show(kept);
+    this.#logTakeover(record, isOver);
+  }
+
+  #logTakeover(record: OwnershipRecord, isOver: boolean): void {
+    const {directory, logger, publisher} = this.parts;
+    const {registry} = directory;
+    const owners = new Set(record.ranges.flatMap(({server}) => server ?? []));
+    logger.info('takeover', {
+      term: publisher.term,
+      former: record.assigner.vm,
+      former_ended: isOver,
+      ranges: record.ranges.length,
+      owners: owners.size,
+      unlisted: [...owners].filter(id => registry.find(id) === null).length,
+      servers: registry.servers.size,
+    });
   }
 
   /** An address that another server uses now has no former one behind it. */
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -64,6 +64,8 @@
   #isLoaded = false;
   #isClosed = false;
   #mayAssign = true;
+  /** Owners without an address, as last logged. */
+  #unlistedCount = 0;
   /** What the assigner has read, as of the moment it said so. */
   #assignerReads: ReadState = UNREAD;
   #assignerReadsAtMs = -Infinity;
@@ -297,6 +299,7 @@
         this.#isAssignerLogLost = message.isLogLost;
         this.#assignerReads = message;
         this.#assignerReadsAtMs = clock.monotonicMs();
+        this.#logUnlisted();
         break;
       case 'servers':
         directory.adoptAll(message.servers, message.ageMs < FRESH_SERVERS_MS);
@@ -323,6 +326,19 @@
     }
   }
 
+  /** Requests for keys of an owner that is not listed here are refused. */
+  #logUnlisted(): void {
+    const {owners, directory, logger} = this.parts;
+    const unlisted = new Set<string>();
+    for (const {server} of owners.all()) {
+      if (server === null || directory.registry.find(server)) continue;
+      unlisted.add(server);
+    }
+    if (unlisted.size === this.#unlistedCount) return;
+    this.#unlistedCount = unlisted.size;
+    logger.info('owners-unlisted', {count: unlisted.size, term: owners.term});
+  }
+
   /** Asks for the whole table, once, after a change that does not fit. */
   #resync({term, revision}: OwnershipView): void {
     if (this.#isResyncing) return;
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -293,6 +293,7 @@
     const {publisher, ledger, clock} = this.parts;
     let isPersisted = range.server !== null && range.former !== null;
     let wanted = range.server;
+    let isShown = true;
     while (!this.#isClosed) {
       const target = this.#target(range, wanted);
       wanted = null;
@@ -304,6 +305,8 @@
       if (target === null || freeAtMs > nowMs) {
         if (freeAtMs > nowMs + PATIENCE_MS) {
           publisher.show([{...range, server: null, moving: false}]);
+          if (isShown) this.#logWait(range, target, freeAtMs - nowMs);
+          isShown = false;
         }
         wanted = target?.id ?? null;
         await delay(
@@ -333,6 +336,17 @@
     return null;
   }
 
+  #logWait(range: RangeOwner, target: GatewayServer | null, waitMs: number) {
+    this.parts.logger.info('range-waits', {
+      service: range.service,
+      from_key: range.fromKey,
+      to_key: range.toKey,
+      from: range.former ?? range.server,
+      to: target?.id ?? null,
+      wait_ms: Math.round(waitMs),
+    });
+  }
+
   #target(range: RangeOwner, wanted: string | null): GatewayServer | null {
     const {usable, place, reach, clock} = this.parts;
     const server = wanted === null ? null : usable(wanted);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -14,4 +14,5 @@
 export * from './settings.js';
 export {SECRET_PLACEHOLDER} from './settings-schema.js';
 export type {Settings} from './settings-schema.js';
+export * from './stall-watch.js';
 export * from './timeline.js';
--- a/packages/gateway/src/utils/stall-watch.ts
+++ b/packages/runtime/src/stall-watch.ts
@@ -1,5 +1,6 @@
 /** Notices when the event loop has been held up. */
-import type {Clock, Logger} from '@wisteriarun/runtime';
+import type {Clock} from './clock.js';
+import type {Logger} from './logger.js';
 
 const TICK_MS = 50;
 /** A gap between two ticks that shows a held up loop. */
@@ -31,6 +32,11 @@
     return nowMs - this.#tickedAtMs > STALL_MS || nowMs < this.#stalledUntilMs;
   }
 
+  /** Longest time that an event which is handled now may have waited. */
+  get unhandledMs(): number {
+    return this.clock.monotonicMs() - this.#tickedAtMs;
+  }
+
   /** Stops to watch. */
   close(): void {
     clearInterval(this.#timer);
--- a/packages/gateway/test/stall-watch.test.ts
+++ b/packages/runtime/test/stall-watch.test.ts
@@ -1,6 +1,5 @@
-import {createLogger} from '@wisteriarun/runtime';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {StallWatch} from '../src/utils/stall-watch.js';
+import {createLogger, StallWatch} from '../src/index.js';
 
 const logger = createLogger({
   level: 'error',
