--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -1,5 +1,5 @@
 /** Moves key ranges between servers so that no two hold the same keys. */
-import {FENCES_PER_TERM} from '@wisteriarun/core';
+import {describeError, FENCES_PER_TERM} from '@wisteriarun/core';
 import type {
   GatewayServer,
   HeldKeys,
@@ -198,7 +198,7 @@
     holdMs: number,
     handover: string | null,
   ): Promise<GrantResult> {
-    const {granter, ledger, clock} = this.parts;
+    const {granter, ledger, reach, clock, logger} = this.parts;
     const {fromKey, toKey, fence, server} = held;
     const pending = ledger.send(held, holdMs, clock.monotonicMs());
     const answer = await granter.grant(
@@ -208,6 +208,12 @@
     );
     const nowMs = clock.monotonicMs();
     if (answer.isErr) {
+      if (!reach.isFailing(server)) {
+        logger.warn('grant-failed', {
+          server,
+          cause: describeError(answer.error),
+        });
+      }
       if (answer.error.kind === 'call-not-sent') pending.refused();
       else pending.unanswered(nowMs);
       return 'failed';
--- a/packages/gateway/src/ownership/server-reach.ts
+++ b/packages/gateway/src/ownership/server-reach.ts
@@ -40,6 +40,16 @@
     }
   }
 
+  /**
+   * Tells whether the last call had no answer.
+   *
+   * @param server - Id of the server.
+   * @returns True from an unanswered call to the next answer.
+   */
+  isFailing(server: string): boolean {
+    return this.#servers.has(server);
+  }
+
   /**
    * Tells whether a server's keys should go to others.
    *
