Show requests that are sent on after a stall although their callers left

Callers in another process send requests and leave while the event loop is held up for 0.8 s. 12 of 12 requests are sent on after a close; 12 and 9 of 12 (close and reset) when the turn after the stall takes 0.3 s. The test that stood for this announced the close itself, in the first turn, which no connection does.

--- a/packages/gateway/test/caller-gone.test.ts
+++ b/packages/gateway/test/caller-gone.test.ts
@@ -1,16 +1,24 @@
-import {EventEmitter} from 'node:events';
+import {spawn} from 'node:child_process';
+import {EventEmitter, once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {GatewayRoute, GatewayService} from '@wisteriarun/core';
 import {PLATFORM_HEADERS} from '@wisteriarun/platform';
-import {createLogger, Metrics, SystemClock} from '@wisteriarun/runtime';
-import {describe, expect, it} from 'vitest';
+import {
+  createLogger,
+  Metrics,
+  StallWatch,
+  SystemClock,
+} from '@wisteriarun/runtime';
+import {describe, expect, it, vi} from 'vitest';
 import {CrashWatch} from '../src/entry/crash-watch.js';
+import {CallerIngress} from '../src/entry/ingress.js';
 import {LoadMeter} from '../src/entry/load-meter.js';
 import {RequestHandler} from '../src/entry/request-handler.js';
 import type {HandlerParts} from '../src/entry/request-handler.js';
 import {RequestLog} from '../src/entry/request-log.js';
 import {RequestMeter} from '../src/entry/request-meter.js';
 import {OwnerView} from '../src/ownership/owner-view.js';
+import {freePorts} from './harness.js';
 
 const route: GatewayRoute = {
   name: 'r',
@@ -30,15 +38,28 @@
   warmMs: 0,
 };
 
+const clock = new SystemClock();
+const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+
+/** Keeps the event loop busy. */
+function block(ms: number): void {
+  const startedAtMs = performance.now();
+  while (performance.now() - startedAtMs < ms);
+}
+
 /** A handler that counts how often it looks for a server. */
-function setUp(isStalled: boolean) {
-  const clock = new SystemClock();
-  const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+function countingHandler(
+  stalls: Pick<StallWatch, 'isStalled' | 'unhandledMs'>,
+  workMs: number,
+) {
   let choices = 0;
   const parts = {
     bundles: {
       bundle: {limits: {maxBodyBytes: 1_000}},
-      route: () => route,
+      route: () => {
+        block(workMs);
+        return route;
+      },
       service: () => service,
       nextService: () => 's',
     },
@@ -53,14 +74,20 @@
     meter: new RequestMeter(new Metrics(), clock),
     log: new RequestLog(logger, clock),
     names: PLATFORM_HEADERS,
-    stalls: {isStalled},
+    stalls,
     crashes: new CrashWatch(logger),
     clock,
   } as unknown as HandlerParts;
+  return {handler: new RequestHandler(parts), choices: () => choices};
+}
+
+function setUp(isStalled: boolean) {
+  const {handler, choices} = countingHandler({isStalled, unhandledMs: 0}, 0);
   const request = Object.assign(new EventEmitter(), {
     headers: {host: 'h'},
     url: '/x',
     method: 'GET',
+    socket: {destroyed: false, readableEnded: false},
   }) as unknown as IncomingMessage;
   const response = Object.assign(new EventEmitter(), {
     writableFinished: false,
@@ -71,9 +98,9 @@
     end: () => {},
   }) as unknown as ServerResponse;
   return {
-    handled: new RequestHandler(parts).handle(request, response),
+    handled: handler.handle(request, response),
     leave: () => response.emit('close'),
-    choices: () => choices,
+    choices,
   };
 }
 
@@ -100,3 +127,68 @@
     expect(choices()).toBe(1);
   });
 });
+
+/** How a caller in another process leaves. */
+const LEAVING = {close: 'destroy', reset: 'resetAndDestroy'} as const;
+/** Callers that leave while the loop is held up. */
+const CALLER_COUNT = 12;
+const STALL_MS = 800;
+/** Time in which the callers send their requests and leave. */
+const STAY_MS = 100;
+
+/** Sends requests at once and leaves before any can be read. */
+function startCallers(port: number, way: keyof typeof LEAVING) {
+  const script = `
+    const {connect} = require('node:net');
+    const {${LEAVING[way]}: leave} = require('node:net').Socket.prototype;
+    process.stdout.write('ready');
+    setTimeout(() => {
+      for (let count = 0; count < ${CALLER_COUNT}; count += 1) {
+        const socket = connect(${port}, '127.0.0.1', () => {
+          socket.write('GET /x HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n');
+          setTimeout(() => leave.call(socket), ${STAY_MS});
+        });
+        socket.on('error', () => {});
+      }
+    }, 100);
+  `;
+  return spawn(process.execPath, ['-e', script], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+}
+
+describe('callers that left while the event loop was held up', () => {
+  // A long turn after the stall outlasts the time in which it still shows.
+  const turns = [
+    {name: 'short', workMs: 0},
+    {name: 'long', workMs: 25},
+  ];
+  const cases = turns.flatMap(turn =>
+    (['close', 'reset'] as const).map(way => ({...turn, way})),
+  );
+
+  it.each(cases)(
+    'have no request sent on, after a $way and a $name turn',
+    async ({way, workMs}) => {
+      const stalls = new StallWatch(clock, logger);
+      const {handler, choices} = countingHandler(stalls, workMs);
+      let requestCount = 0;
+      const ingress = new CallerIngress((request, response) => {
+        requestCount += 1;
+        return handler.handle(request, response);
+      });
+      const [port = 0] = await freePorts(1);
+      await ingress.listen(`127.0.0.1:${port}`);
+      const callers = startCallers(port, way);
+      const ended = once(callers, 'exit');
+      await once(callers.stdout, 'data');
+      block(STALL_MS);
+      await ended;
+      await vi.waitFor(() => expect(requestCount).toBe(CALLER_COUNT), 5_000);
+      await new Promise(resolve => setTimeout(resolve, 200));
+      ingress.close();
+      stalls.close();
+      expect(choices()).toBe(0);
+    },
+  );
+});
