Notice callers that left before their requests were read (GONE)

What callers saw: servers ran reads that nobody waited for.

Cause: a request that waited long to be read is sent at once, before the close of its connection is read. The guard against that had three holes: - It waited for the answer's close event, which comes a turn later than the two turns that it waits.

Ruled out: cancelling of attempts.

Change: a caller has left when its connection is closed, reset or ended. What shows a late read is the age of the third last tick, or the time since the queue of new connections was last seen empty. Bodies are checked again at their end.

Evidence, tests with callers in a process of their own: before, 12, 12 and 9 of 12 requests were sent on after a stall, 34 and 24 of 80 later than 0.5 s while a queue drained; now none.

--- a/packages/gateway/src/entry/exchange.ts
+++ b/packages/gateway/src/entry/exchange.ts
@@ -4,6 +4,7 @@
 import type {Readable} from 'node:stream';
 import {singleHeader} from '@wisteriarun/core';
 import type {GatewayHeaders, GatewayRoute} from '@wisteriarun/core';
+import {hasLeft} from '@wisteriarun/runtime';
 import type {Clock, LogFields} from '@wisteriarun/runtime';
 import type {AnswerHeaders, AnswerSink, AttemptOutcome} from './attempt.js';
 import type {CallerBody} from './caller-body.js';
@@ -83,7 +84,7 @@
 
   /** Whether the caller has left. */
   get isGone(): boolean {
-    return this.#isGone;
+    return this.#isGone || hasLeft(this.request);
   }
 
   /** Whether the body is still there for another attempt. */
@@ -128,7 +129,7 @@
    * @param answer - Whole answer.
    */
   answer(answer: Answered): void {
-    if (this.#isGone) return this.abandon('caller-gone');
+    if (this.isGone) return this.abandon('caller-gone');
     const {response} = this;
     const headers = passedHeaders(answer.headers);
     if (isUnframed(answer.headers)) this.#unframe();
@@ -236,7 +237,7 @@
   }
 
   #own(status: number, cause: string, headers: Record<string, string>): void {
-    if (this.#isGone) return this.abandon('caller-gone');
+    if (this.isGone) return this.abandon('caller-gone');
     const text = `${STATUS_CODES[status] ?? ''}: ${cause}\n`;
     const id = singleHeader(this.request.headers, this.names.requestId);
     writeHead(this.response, status, {
--- a/packages/gateway/src/entry/ingress.ts
+++ b/packages/gateway/src/entry/ingress.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {CallerLimits, VmState} from '@wisteriarun/core';
+import type {StallWatch} from '@wisteriarun/runtime';
 import {
   NOT_READY_STATUS,
   READINESS_PATH,
@@ -24,9 +25,11 @@
 
   /**
    * @param handle - Serves one request.
+   * @param stalls - Learns of new connections.
    */
   constructor(
     handle: (request: IncomingMessage, response: ServerResponse) => unknown,
+    stalls: StallWatch,
   ) {
     this.#server = createServer(
       {
@@ -44,6 +47,7 @@
         handle(request, response);
       },
     );
+    this.#server.on('connection', () => stalls.connectionAccepted());
   }
 
   /** Requests that are not settled. */
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -130,11 +130,7 @@
       exchange.reject(404, 'no-route');
       return;
     }
-    if (stalls.isStalled) {
-      // Callers that have left meanwhile are known only after this turn.
-      await pendingEvents();
-      if (exchange.isGone) return exchange.abandon('caller-gone');
-    }
+    if (await this.#isAbandoned(exchange)) return;
     const job = this.#admit(exchange, route);
     if (job === null) return;
     const {maxBodyBytes} = bundles.bundle.limits;
@@ -145,10 +141,20 @@
       exchange.abandon('caller-gone');
     } else {
       exchange.body = body;
+      // The end of a body may be read long after its head.
+      if (await this.#isAbandoned(exchange)) return;
       await this.#serve(job);
     }
   }
 
+  /** After a stall, callers that have left are known only turns later. */
+  async #isAbandoned(exchange: Exchange): Promise<boolean> {
+    if (this.parts.stalls.isStalled) await pendingEvents();
+    if (!exchange.isGone) return false;
+    exchange.abandon('caller-gone');
+    return true;
+  }
+
   /** Checks what the request states about itself. */
   #admit(exchange: Exchange, route: GatewayRoute): Job | null {
     const {bundles, names, loads} = this.parts;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -170,12 +170,14 @@
       crashes: this.#crashes,
       shareCrashes: records => this.#coordinator.shareCrashes(records),
     });
-    this.#callers = new CallerIngress((request, response) =>
-      this.#handler.handle(request, response).catch((error: unknown) => {
-        const cause = error instanceof Error ? error.stack : String(error);
-        logger.error('request-failed', {cause});
-        response.destroy();
-      }),
+    this.#callers = new CallerIngress(
+      (request, response) =>
+        this.#handler.handle(request, response).catch((error: unknown) => {
+          const cause = error instanceof Error ? error.stack : String(error);
+          logger.error('request-failed', {cause});
+          response.destroy();
+        }),
+      this.#stalls,
     );
     this.#status = new StatusIngress({
       isReady: () => this.isReady,
--- a/packages/gateway/test/caller-gone.test.ts
+++ b/packages/gateway/test/caller-gone.test.ts
@@ -52,7 +52,7 @@
   stalls: Pick<StallWatch, 'isStalled' | 'unhandledMs'>,
   workMs: number,
 ) {
-  let choices = 0;
+  const choicesMs: number[] = [];
   const parts = {
     bundles: {
       bundle: {limits: {maxBodyBytes: 1_000}},
@@ -66,7 +66,7 @@
     owners: new OwnerView(),
     choice: {
       choose: () => {
-        choices += 1;
+        choicesMs.push(performance.now());
         return {kind: 'refuse', cause: 'overload', retryAfterMs: 10};
       },
     },
@@ -78,11 +78,11 @@
     crashes: new CrashWatch(logger),
     clock,
   } as unknown as HandlerParts;
-  return {handler: new RequestHandler(parts), choices: () => choices};
+  return {handler: new RequestHandler(parts), choicesMs};
 }
 
 function setUp(isStalled: boolean) {
-  const {handler, choices} = countingHandler({isStalled, unhandledMs: 0}, 0);
+  const {handler, choicesMs} = countingHandler({isStalled, unhandledMs: 0}, 0);
   const request = Object.assign(new EventEmitter(), {
     headers: {host: 'h'},
     url: '/x',
@@ -100,7 +100,7 @@
   return {
     handled: handler.handle(request, response),
     leave: () => response.emit('close'),
-    choices,
+    choices: () => choicesMs.length,
   };
 }
 
@@ -130,20 +130,20 @@
 
 /** How a caller in another process leaves. */
 const LEAVING = {close: 'destroy', reset: 'resetAndDestroy'} as const;
-/** Callers that leave while the loop is held up. */
-const CALLER_COUNT = 12;
-const STALL_MS = 800;
+type Leaving = keyof typeof LEAVING;
 /** Time in which the callers send their requests and leave. */
 const STAY_MS = 100;
+/** A request that reaches a server later than this after its caller left is work for nobody. */
+const LATE_MS = 500;
 
-/** Sends requests at once and leaves before any can be read. */
-function startCallers(port: number, way: keyof typeof LEAVING) {
+/** Sends requests at once and leaves before most can be read. */
+function startCallers(port: number, callerCount: number, way: Leaving) {
   const script = `
     const {connect} = require('node:net');
     const {${LEAVING[way]}: leave} = require('node:net').Socket.prototype;
     process.stdout.write('ready');
     setTimeout(() => {
-      for (let count = 0; count < ${CALLER_COUNT}; count += 1) {
+      for (let count = 0; count < ${callerCount}; count += 1) {
         const socket = connect(${port}, '127.0.0.1', () => {
           socket.write('GET /x HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n');
           setTimeout(() => leave.call(socket), ${STAY_MS});
@@ -157,6 +157,41 @@
   });
 }
 
+interface Crowd {
+  readonly callerCount: number;
+  readonly way: Leaving;
+  /** Time for which the loop is held up. */
+  readonly stallMs: number;
+  /** Time of the loop that one request takes. */
+  readonly workMs: number;
+}
+
+/** Returns how long after the callers left their requests were sent on. */
+async function sentAfterMs(crowd: Crowd): Promise<number[]> {
+  const stalls = new StallWatch(clock, logger);
+  const {handler, choicesMs} = countingHandler(stalls, crowd.workMs);
+  let requestCount = 0;
+  const ingress = new CallerIngress((request, response) => {
+    requestCount += 1;
+    return handler.handle(request, response);
+  }, stalls);
+  const [port = 0] = await freePorts(1);
+  await ingress.listen(`127.0.0.1:${port}`);
+  const callers = startCallers(port, crowd.callerCount, crowd.way);
+  let leftAtMs = Infinity;
+  const ended = once(callers, 'exit').then(() => {
+    leftAtMs = performance.now();
+  });
+  await once(callers.stdout, 'data');
+  block(crowd.stallMs);
+  await ended;
+  await vi.waitFor(() => expect(requestCount).toBe(crowd.callerCount), 5_000);
+  await new Promise(resolve => setTimeout(resolve, 200));
+  ingress.close();
+  stalls.close();
+  return choicesMs.map(sentMs => sentMs - leftAtMs);
+}
+
 describe('callers that left while the event loop was held up', () => {
   // A long turn after the stall outlasts the time in which it still shows.
   const turns = [
@@ -170,25 +205,19 @@
   it.each(cases)(
     'have no request sent on, after a $way and a $name turn',
     async ({way, workMs}) => {
-      const stalls = new StallWatch(clock, logger);
-      const {handler, choices} = countingHandler(stalls, workMs);
-      let requestCount = 0;
-      const ingress = new CallerIngress((request, response) => {
-        requestCount += 1;
-        return handler.handle(request, response);
-      });
-      const [port = 0] = await freePorts(1);
-      await ingress.listen(`127.0.0.1:${port}`);
-      const callers = startCallers(port, way);
-      const ended = once(callers, 'exit');
-      await once(callers.stdout, 'data');
-      block(STALL_MS);
-      await ended;
-      await vi.waitFor(() => expect(requestCount).toBe(CALLER_COUNT), 5_000);
-      await new Promise(resolve => setTimeout(resolve, 200));
-      ingress.close();
-      stalls.close();
-      expect(choices()).toBe(0);
+      const crowd = {callerCount: 12, way, stallMs: 800, workMs};
+      expect(await sentAfterMs(crowd)).toEqual([]);
+    },
+  );
+});
+
+describe('callers that left while a queue of connections drained', () => {
+  it.each(['close', 'reset'] as const)(
+    'have no late request sent on, after a %s',
+    async way => {
+      const crowd = {callerCount: 80, way, stallMs: 0, workMs: 20};
+      const late = (await sentAfterMs(crowd)).filter(ms => ms > LATE_MS);
+      expect(late).toEqual([]);
     },
   );
 });
