--- a/packages/gateway/src/entry/exchange.ts
+++ b/packages/gateway/src/entry/exchange.ts
@@ -1,6 +1,7 @@
 /** One request of a caller and its answer. */
 import {STATUS_CODES} from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Readable} from 'node:stream';
 import {singleHeader} from '@wisteriarun/core';
 import type {GatewayHeaders, GatewayRoute} from '@wisteriarun/core';
@@ -51,6 +52,8 @@
   onGone: (() => void) | null = null;
   /** Answer of a server to fall back on when a repetition brings none. */
   fallback: Answered | null = null;
+  /** Kept, since undici takes it off a request whose body it has sent. */
+  readonly socket: Socket;
   #isGone = false;
   #isStreamSent = false;
   #mayHaveRun = false;
@@ -70,6 +73,7 @@
     private readonly names: GatewayHeaders,
     private readonly parts: ExchangeParts,
   ) {
+    this.socket = request.socket;
     response.on('close', () => {
       if (response.writableFinished) return;
       this.#isGone = true;
@@ -84,7 +88,7 @@
 
   /** Whether the caller has left. */
   get isGone(): boolean {
-    return this.#isGone || hasLeft(this.request);
+    return this.#isGone || hasLeft(this.socket);
   }
 
   /** Whether the body is still there for another attempt. */
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -391,11 +391,11 @@
 
 /** What a repetition of a request by its caller has in common with it. */
 function crashParts({exchange, serviceName, key}: Job): FingerprintParts {
-  const {method = '', url = '', socket} = exchange.request;
+  const {method = '', url = ''} = exchange.request;
   return {
     idempotencyKey: null,
     service: serviceName,
-    key: `${key ?? ''} ${socket.remoteAddress ?? ''}`,
+    key: `${key ?? ''} ${exchange.socket.remoteAddress ?? ''}`,
     method,
     path: url,
     lengthBytes: exchange.bodyBytes,
--- a/packages/runtime/src/stall-watch.ts
+++ b/packages/runtime/src/stall-watch.ts
@@ -1,5 +1,5 @@
 /** Notices when the event loop has been held up. */
-import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Clock} from './clock.js';
 import type {Logger} from './logger.js';
 
@@ -86,22 +86,12 @@
 }
 
 /**
- * Waits until the events that are pending have been handled.
+ * Tells whether the other side has closed or reset a connection. The
+ * connection shows that a turn earlier than its `close` event.
  *
- * @returns Resolves in the next turn but one of the event loop.
+ * @param socket - Connection of a caller.
+ * @returns True when nobody waits for an answer any more.
  */
-export async function pendingEvents(): Promise<void> {
-  await new Promise(resolve => setImmediate(resolve));
-  await new Promise(resolve => setImmediate(resolve));
-}
-
-/**
- * Tells whether the caller of a request has closed or reset its connection.
- * The connection shows that a turn earlier than the answer's `close` event.
- *
- * @param request - Request of the caller.
- * @returns True when nobody waits for the answer any more.
- */
-export function hasLeft({socket}: IncomingMessage): boolean {
+export function hasLeft(socket: Socket): boolean {
   return socket.destroyed || socket.readableEnded;
 }
