Do not take servers for lost when the assigner itself is held up (RECOVER)

What callers saw: after a loss of all processes, keys refused for 15 s and more, though all servers answered.

Cause: a new assigner grants all ranges at once (160 to 230), on a process that has just started and serves callers on 0.4 of a core. The 400 ms for an answer began when the call was made, not when it was sent, and the timers ran before the answers that had arrived were read. After 0.7 s of such failures a server counted as lost; its keys moved without a handover, which makes servers slow, which fills the queues of the others. Grants also waited behind releases, which last as long as running work.

Ruled out: refused connections at full servers (no such cause in the logs).

Change: the time of a grant begins with its connection, ends only after pending events were handled, and grants have connections apart from releases. Calls behind one without an answer fail as not sent. A grant that waited is sent only if the assigner may still grant, and otherwise says nothing about the server.

--- a/packages/core/src/types/gateway-ports.ts
+++ b/packages/core/src/types/gateway-ports.ts
@@ -108,14 +108,17 @@
    *
    * @param address - Address of the server, host:port.
    * @param grant - The grant.
-   * @param timeoutMs - Longest wait for the answer.
-   * @returns The outcome; `call-not-sent` when there was no connection, or
+   * @param timeoutMs - Longest wait for the answer, from the moment at which
+   * the call has a connection.
+   * @param isWanted - Asked at that moment whether the grant may still be sent.
+   * @returns The outcome; `call-not-sent` when it was not sent, or
    * `server-unreachable`, after which the grant may still take effect.
    */
   grant(
     address: string,
     grant: KeyGrant,
     timeoutMs: number,
+    isWanted: () => boolean,
   ): Promise<Result<GrantOutcome, WisteriarunError>>;
 
   /**
--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -183,11 +183,12 @@
     server: GatewayServer,
     handover: string | null,
   ): Promise<GrantResult> {
-    const {reach, clock, holdMs} = this.parts;
+    const {reach, clock, holdMs, mayGrant} = this.parts;
     const held = {...owner, server: server.id, bornMs: server.bornMs};
     const outcome = await this.#send(held, server.address, holdMs, handover);
-    if (outcome === 'failed') reach.failed(server.id, clock.monotonicMs());
-    else reach.answered(server.id);
+    if (outcome !== 'failed') reach.answered(server.id);
+    // A grant that may not be sent any more shows nothing about the server.
+    else if (mayGrant()) reach.failed(server.id, clock.monotonicMs());
     return outcome;
   }
 
@@ -205,6 +206,7 @@
       address,
       {server, fromKey, toKey, fence, holdMs, handover},
       GRANT_TIMEOUT_MS,
+      () => !this.#isClosed && this.parts.mayGrant(),
     );
     const nowMs = clock.monotonicMs();
     if (answer.isErr) {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * from './answer-timer.js';
 export * from './channel.js';
 export * from './clock.js';
 export * from './framing.js';
@@ -11,6 +12,7 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './nearest-name.js';
+export * from './pending-events.js';
 export * from './settings.js';
 export {SECRET_PLACEHOLDER} from './settings-schema.js';
 export type {Settings} from './settings-schema.js';
