Spread ranges over all servers while their load is not known

After a loss of all processes the new assigner knows no load. Ranges placed in the same step, and ranges that arrive, did not count for the choice. They do now; the test finds two ranges at most at each of ten servers.

--- a/packages/core/src/core/range/range-planner.ts
+++ b/packages/core/src/core/range/range-planner.ts
@@ -62,7 +62,10 @@
   /** Load at which one more request is delayed as much as at any other server. */
   readonly wanted: number;
   load: number;
+  /** Ranges that may be given to others. */
   ranges: RangeOwner[];
+  /** All ranges, also those that arrive. */
+  rangeCount: number;
   /** Keys arrive or leave in this step; no other move of them is planned. */
   isBusy: boolean;
 }
@@ -97,6 +100,7 @@
         wanted: wanted.get(id) ?? 0,
         load: 0,
         ranges: [],
+        rangeCount: 0,
         isBusy: false,
       });
     }
@@ -105,6 +109,7 @@
       const state = this.#states.get(range.server);
       if (state === undefined) continue;
       state.load += load.sum(range);
+      state.rangeCount += 1;
       if (range.moving) state.isBusy = true;
       else state.ranges.push(range);
     }
@@ -123,6 +128,7 @@
       for (const piece of this.#pieces(range)) {
         const target = this.#leastPressed(this.#load.sum(piece));
         target.load += this.#load.sum(piece);
+        target.rangeCount += 1;
         moves.push({...piece, from: range.server, to: target.id});
       }
     }
@@ -301,7 +307,7 @@
     let least = Infinity;
     for (const state of this.#states.values()) {
       // Without load, the server with the fewest ranges comes first.
-      const after = pressure(state, extra) + state.ranges.length * 1e-6;
+      const after = pressure(state, extra) + state.rangeCount * 1e-6;
       if (after < least) {
         best = state;
         least = after;
--- a/packages/core/test/range/range-planner.test.ts
+++ b/packages/core/test/range/range-planner.test.ts
@@ -241,6 +241,20 @@
     expect(new Set(moves.map(({to}) => to)).size).toBeGreaterThan(1);
   });
 
+  it('spreads ranges without known load over all servers', () => {
+    const table = evenTable(30);
+    const members = servers(30).slice(0, 10);
+    const lost = table
+      .all()
+      .filter(({server}) => members.every(({id}) => id !== server));
+    const load = new KeyLoadMap(1_000);
+    const moves = new RangePlanner(load, members, table.all()).place(lost);
+    const counts = members.map(
+      ({id}) => moves.filter(({to}) => to === id).length,
+    );
+    expect(Math.max(...counts)).toBeLessThanOrEqual(2);
+  });
+
   it('places nothing while no server is left', () => {
     const planner = new RangePlanner(loadMap(0, 0, 0), [], []);
     expect(planner.place([owner('s0', 0, 10)])).toEqual([]);
