--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -88,7 +88,11 @@
     ready: string;
     metrics: string;
   }[] = [];
+  /** Ports of each VM, which it keeps over restarts. */
+  readonly #ports = new Map<string, number[]>();
   #storeAddress = '';
+  /** Servers that do not describe themselves. */
+  readonly #silent = new Set<string>();
   #timer: NodeJS.Timeout | null = null;
   #version = 0;
 
@@ -140,9 +144,39 @@
     this.#describe(member);
   }
 
+  /** Ends all gateways at once, as a loss of power does. */
+  loseGateways(): void {
+    for (const {gateway} of this.gateways.splice(0)) gateway.close();
+  }
+
+  /** Removes all servers from the list, as an outage of the store does. */
+  unlistServers(): void {
+    for (const {id} of this.members) {
+      this.#silent.add(id);
+      this.store.put('keyed.servers', id, '');
+    }
+  }
+
+  /** Has the servers describe themselves again, one after the other. */
+  async listServers(gapMs: number): Promise<void> {
+    for (const member of this.members) {
+      this.#silent.delete(member.id);
+      this.#describe(member);
+      await new Promise(resolve => setTimeout(resolve, gapMs));
+    }
+  }
+
   /** Starts a gateway and waits until it is ready. */
   async addGateway(vm: string): Promise<void> {
-    const ports = await freePorts(4);
+    const {gateway, callers} = await this.startGateway(vm);
+    await this.until(() => gateway.isReady);
+    await this.until(() => this.#isServed(callers));
+  }
+
+  /** Starts a gateway. */
+  async startGateway(vm: string) {
+    const ports = this.#ports.get(vm) ?? (await freePorts(4));
+    this.#ports.set(vm, ports);
     const settings = parseGatewaySettings(
       [
         `[vm]\nid=${vm}\nzone=a\nhost=127.0.0.1`,
@@ -168,15 +202,14 @@
       }),
     });
     await gateway.start();
-    const callers = settings.callersAddress;
-    this.gateways.push({
+    const started = {
       gateway,
-      callers,
+      callers: settings.callersAddress,
       ready: settings.readinessAddress,
       metrics: `127.0.0.1:${settings.metricsPort}`,
-    });
-    await this.until(() => gateway.isReady);
-    await this.until(() => this.#isServed(callers));
+    };
+    this.gateways.push(started);
+    return started;
   }
 
   /** Sends one request through a gateway. */
@@ -210,10 +243,13 @@
   }
 
   /** Waits until a condition holds. */
-  async until(condition: () => boolean | Promise<boolean>): Promise<void> {
+  async until(
+    condition: () => boolean | Promise<boolean>,
+    limitMs = READY_TIMEOUT_MS,
+  ): Promise<void> {
     const startedAtMs = performance.now();
     while (!(await condition())) {
-      if (performance.now() - startedAtMs > READY_TIMEOUT_MS) {
+      if (performance.now() - startedAtMs > limitMs) {
         throw new Error('the condition did not come to hold in time');
       }
       await new Promise(resolve => setTimeout(resolve, 20));
@@ -242,7 +278,9 @@
   }
 
   #heartbeats(): void {
-    for (const member of this.members) this.#describe(member);
+    for (const member of this.members) {
+      if (!this.#silent.has(member.id)) this.#describe(member);
+    }
   }
 
   #describe(member: Member): void {
--- /dev/null
+++ b/packages/gateway/test/recovery.test.ts
@@ -0,0 +1,79 @@
+import {describe, expect, it} from 'vitest';
+import {GatewayHarness} from './harness.js';
+
+const KEYS = Array.from({length: 32}, (_, index) => index * 2_048);
+const SERVERS = ['i-1', 'i-2', 'i-3', 'i-4'];
+/** Rule of the users: time from the return of the VMs to service. */
+const RECOVER_MS = 15_000;
+/** Servers that are listed again within about this time are not gone. */
+const RETURN_MS = 2_000;
+/** Time between two servers that come back to the list. */
+const LISTING_GAP_MS = 300;
+const TEST_LIMIT_MS = 45_000;
+
+/** A loss of all gateways, and in which order everything returns. */
+interface Loss {
+  readonly name: string;
+  /** Gateways that return; vm-1 assigned before. */
+  readonly vms: readonly string[];
+  /** Time between two gateways. */
+  readonly gapMs: number;
+  /** Time from the first gateway until a first server is listed again. */
+  readonly unlistedMs: number;
+}
+
+const losses: Loss[] = [];
+for (const {order, vms} of [
+  {order: 'the former assigner', vms: ['vm-1', 'vm-2']},
+  {order: 'another VM', vms: ['vm-2', 'vm-3']},
+]) {
+  for (const unlistedMs of [0, 800, 5_000]) {
+    const name = `${order}, servers unlisted for ${unlistedMs} ms`;
+    losses.push({name, vms, gapMs: 300, unlistedMs});
+  }
+}
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+async function isServed(harness: GatewayHarness): Promise<boolean> {
+  for (const gateway of harness.gateways.keys()) {
+    for (const key of KEYS) {
+      const answer = await harness.call('GET', '/read/x', {key, gateway});
+      if (answer.status !== 200) return false;
+    }
+  }
+  return true;
+}
+
+describe('after a loss of all gateways', () => {
+  it.concurrent.each(losses.map(loss => [loss.name, loss] as const))(
+    'keys are served within the bound and stay where they were: %s',
+    async (_, {vms, gapMs, unlistedMs}) => {
+      const harness = new GatewayHarness();
+      await harness.start();
+      for (const id of SERVERS) await harness.addServer('records', {id});
+      await harness.addGateway('vm-1');
+      const ownerOf = (key: number) =>
+        harness.members.findIndex(({server}) => server.holds(key));
+      const before = KEYS.map(ownerOf);
+      harness.loseGateways();
+      if (unlistedMs > 0) harness.unlistServers();
+      // The servers hold nothing any more when the first VM is back.
+      await sleep(4_200);
+      for (const vm of vms) {
+        await harness.startGateway(vm);
+        await sleep(gapMs);
+      }
+      const returnedAtMs = performance.now();
+      await sleep(unlistedMs - vms.length * gapMs);
+      await harness.listServers(LISTING_GAP_MS);
+      await harness.until(() => isServed(harness), 2 * RECOVER_MS);
+      const tookMs = performance.now() - returnedAtMs;
+      const after = KEYS.map(ownerOf);
+      await harness.close();
+      expect(tookMs).toBeLessThan(RECOVER_MS);
+      if (unlistedMs <= RETURN_MS) expect(after).toEqual(before);
+    },
+    TEST_LIMIT_MS,
+  );
+});
