Wait for servers that come back to the list after a start (RECOVER)

What callers saw: after a loss of all processes while the store was away, keys refused for 20 s, or sent to a few overloaded servers.

Cause: a VM that has followed the list waits 2 s after an outage before it takes a server that is not listed for gone. A VM that has just started did not, since it had seen no outage. It moved the keys of every server that was not yet back. When another VM had assigned before, these moves waited for holds of 19.2 s that the former assigner could still have renewed: longer than the 15 s of RECOVER.

--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -366,7 +366,7 @@
     server: GatewayServer | null,
     nowMs: number,
   ): MoveReason | null {
-    if (server === null) return 'gone';
+    if (server === null) return this.parts.directory.isSettled ? 'gone' : null;
     if (server.isDraining) return 'draining';
     if (!this.#reach.isLost(server.id, nowMs)) return null;
     const freeAtMs = this.#ledger.freeAtMs(range.service, range, null);
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -24,6 +24,7 @@
   readonly #leavingSinceMs = new Map<string, number>();
   readonly #heardAtMs = new Map<string, number>();
   #isLoaded = false;
+  #loadedAtMs = Infinity;
   #regainedAtMs = -Infinity;
   #isLost = false;
 
@@ -47,6 +48,17 @@
     return this.#isLoaded;
   }
 
+  /**
+   * Whether a server that is not listed is gone. A VM that has just started
+   * does not know whether the log was away before.
+   */
+  get isSettled(): boolean {
+    const sinceMs = Math.max(this.#loadedAtMs, this.#regainedAtMs);
+    return (
+      !this.#isLost && this.clock.monotonicMs() - sinceMs >= RETURN_GRACE_MS
+    );
+  }
+
   /** Newest descriptions. */
   get registry(): ServerRegistry {
     return this.#registry;
@@ -120,6 +132,7 @@
         for (const id of this.#registry.servers.keys()) {
           if (!listed.has(id)) this.#remove(id);
         }
+        if (!this.#isLoaded) this.#loadedAtMs = this.clock.monotonicMs();
         this.#isLoaded = true;
         break;
       }
