Send all servers to VMs that were linked before an election

Cause: VMs link to the address of the former assigner while it starts again. Those that were linked before its election got the table and later changes of servers, but never the list that the changes build on, and stopped to read the list themselves. A server that came back between their own last read and the assigner's stayed unknown to them, and requests for its keys were refused as 'no-owner' for good.

A list that may still lack servers that come back says so, and removes no server.

--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -196,6 +196,8 @@
     servers: z.array(gatewayServerSchema),
     /** Time since it last read the log of servers. */
     ageMs: z.number(),
+    /** Whether servers that are not listed are gone. */
+    isSettled: z.boolean(),
   }),
   /** A server that changed. */
   z.object({kind: z.literal('server'), server: gatewayServerSchema}),
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -91,11 +91,7 @@
       if (message.kind === 'hello') {
         const view = this.#publisher?.view;
         if (view !== undefined) reply({kind: 'view', view});
-        const servers = [...parts.directory.registry.servers.values()];
-        const {serversAgeMs: ageMs} = parts.readState();
-        reply({kind: 'servers', servers, ageMs});
-        const records = parts.crashes.export(parts.clock.monotonicMs());
-        if (records.length > 0) reply({kind: 'crashes', records});
+        this.#sendState(reply);
       }
     });
     void parts.directory.changes.stream.observe(change =>
@@ -302,7 +298,10 @@
         this.#logUnlisted();
         break;
       case 'servers':
-        directory.adoptAll(message.servers, message.ageMs < FRESH_SERVERS_MS);
+        directory.adoptAll(
+          message.servers,
+          message.isSettled && message.ageMs < FRESH_SERVERS_MS,
+        );
         break;
       case 'server':
       case 'server-gone':
@@ -339,6 +338,19 @@
     logger.info('owners-unlisted', {count: unlisted.size, term: owners.term});
   }
 
+  /** Sends what later changes of servers and crashes build on. */
+  #sendState(send: (message: GatewayMessage) => void): void {
+    const {directory, readState, crashes, clock} = this.parts;
+    send({
+      kind: 'servers',
+      servers: [...directory.registry.servers.values()],
+      ageMs: readState().serversAgeMs,
+      isSettled: directory.isSettled,
+    });
+    const records = crashes.export(clock.monotonicMs());
+    if (records.length > 0) send({kind: 'crashes', records});
+  }
+
   /** Asks for the whole table, once, after a change that does not fit. */
   #resync({term, revision}: OwnershipView): void {
     if (this.#isResyncing) return;
@@ -377,6 +389,8 @@
       former,
       () => this.#steppedDown(),
     );
+    // Some VMs were linked while this one did not assign.
+    this.#sendState(message => this.parts.peers.broadcast(message));
   }
 
   #steppedDown(): void {
