--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Readable} from 'node:stream';
 import type {GatewayHeaders, ReportedLoad} from '@wisteriarun/core';
+import {AnswerTimer} from '@wisteriarun/runtime';
 import type {Dispatcher} from 'undici';
 import {expectSocket} from './attempt-socket.js';
 import type {SocketUser} from './attempt-socket.js';
@@ -83,7 +84,7 @@
   #chunks: Buffer[] = [];
   #bytes = 0;
   #isStreaming = false;
-  readonly #timer: NodeJS.Timeout;
+  readonly #timer: AnswerTimer;
 
   /**
    * Starts the attempt.
@@ -100,7 +101,9 @@
     private readonly sink: AnswerSink,
   ) {
     this.outcome = new Promise(resolve => (this.#settle = resolve));
-    this.#timer = setTimeout(() => this.cancel('timeout'), request.timeoutMs);
+    this.#timer = new AnswerTimer(request.timeoutMs, () =>
+      this.cancel('timeout'),
+    );
     dispatcher.dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
@@ -274,7 +277,7 @@
   #finish(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    clearTimeout(this.#timer);
+    this.#timer.close();
     this.#settle(outcome);
   }
 }
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -1,4 +1,5 @@
 import {PLATFORM_HEADERS} from '@wisteriarun/platform';
+import {AnsweringProcess, holdUpBeforeTimers} from '@wisteriarun/standins';
 import {Pool} from 'undici';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {Attempt} from '../src/entry/attempt.js';
@@ -81,3 +82,27 @@
     expect(sent).toBeGreaterThan(500);
   });
 });
+
+it('delivers an answer that came in time and waits to be read', async () => {
+  const server = await AnsweringProcess.start(20, 'whole');
+  const pool = new Pool(`http://${server.address}`);
+  const {outcome} = new Attempt(
+    pool,
+    {
+      method: 'GET',
+      path: '/x',
+      headers: {host: 'h', 'request-id': 'id-1'},
+      body: null,
+      id: 'id-1',
+      timeoutMs: 200,
+    },
+    PLATFORM_HEADERS,
+    sink,
+  );
+  await pause(10);
+  await holdUpBeforeTimers(400);
+  const {kind} = await outcome;
+  await pool.destroy();
+  server.close();
+  expect(kind).toBe('answered');
+});
--- a/packages/gateway/test/caller-gone.test.ts
+++ b/packages/gateway/test/caller-gone.test.ts
@@ -9,6 +9,7 @@
   StallWatch,
   SystemClock,
 } from '@wisteriarun/runtime';
+import {holdUpLoop} from '@wisteriarun/standins';
 import {describe, expect, it, vi} from 'vitest';
 import {CrashWatch} from '../src/entry/crash-watch.js';
 import {CallerIngress} from '../src/entry/ingress.js';
@@ -41,12 +42,6 @@
 const clock = new SystemClock();
 const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
 
-/** Keeps the event loop busy. */
-function block(ms: number): void {
-  const startedAtMs = performance.now();
-  while (performance.now() - startedAtMs < ms);
-}
-
 /** A handler that counts how often it looks for a server. */
 function countingHandler(
   stalls: Pick<StallWatch, 'isStalled' | 'unhandledMs'>,
@@ -57,7 +52,7 @@
     bundles: {
       bundle: {limits: {maxBodyBytes: 1_000}},
       route: () => {
-        block(workMs);
+        holdUpLoop(workMs);
         return route;
       },
       service: () => service,
@@ -183,7 +178,7 @@
     leftAtMs = performance.now();
   });
   await once(callers.stdout, 'data');
-  block(crowd.stallMs);
+  holdUpLoop(crowd.stallMs);
   await ended;
   await vi.waitFor(() => expect(requestCount).toBe(crowd.callerCount), 5_000);
   await new Promise(resolve => setTimeout(resolve, 200));
