Notice callers of the daemon that left before their requests were read

The same cause as in the gateway: the daemon handled requests that were read after a stall although the close of their connection was pending; only the answer's close event aborted them, turns later.

--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -14,7 +14,13 @@
   requestFailure,
   type RequestFailure,
 } from '@wisteriarun/core';
-import {closeGracefully, sendBody} from '@wisteriarun/runtime';
+import {
+  closeGracefully,
+  hasLeft,
+  pendingEvents,
+  sendBody,
+  type StallWatch,
+} from '@wisteriarun/runtime';
 import {parseHead} from './parse.js';
 import type {CallerAnswer, CallerHandler} from './types.js';
 
@@ -48,10 +54,12 @@
   /**
    * @param options - Address.
    * @param handler - Executes the requests.
+   * @param stalls - Tells requests that were read late.
    */
   constructor(
     private readonly options: CallerServerOptions,
     private readonly handler: CallerHandler,
+    private readonly stalls: StallWatch,
   ) {
     this.server = createServer({
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -59,6 +67,7 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: 0,
     });
+    this.server.on('connection', () => stalls.connectionAccepted());
     this.server.on('request', (req, res) => void this.serve(req, res));
     this.server.on('clientError', (error, socket) => {
       // A body that turns malformed belongs to a request that may have run.
@@ -128,6 +137,11 @@
       writeFailure(req, res, head);
       return;
     }
+    if (this.stalls.isStalled) await pendingEvents();
+    if (hasLeft(req.socket)) {
+      res.destroy();
+      return;
+    }
     const gone = new AbortController();
     res.once('close', () => {
       if (!res.writableFinished) gone.abort();
--- /dev/null
+++ b/packages/caller/test/caller-gone.test.ts
@@ -0,0 +1,38 @@
+import {once} from 'node:events';
+import {requestFailure} from '@wisteriarun/core';
+import {createLogger, StallWatch, SystemClock} from '@wisteriarun/runtime';
+import {holdUpLoop, startLeavingCallers} from '@wisteriarun/standins';
+import {expect, it} from 'vitest';
+import {CallerServer} from '../src/index.js';
+
+const STALL_MS = 800;
+const HEAD = ['GET /records/k HTTP/1.1', 'Host: h'];
+
+it.each(['close', 'reset'] as const)(
+  'no request of a caller that left during a stall is handled, after a %s',
+  async way => {
+    const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+    const stalls = new StallWatch(new SystemClock(), logger);
+    let handledCount = 0;
+    const server = new CallerServer(
+      {host: '127.0.0.1', port: 0},
+      {
+        handle: async () => {
+          handledCount += 1;
+          return requestFailure('no-bundle');
+        },
+      },
+      stalls,
+    );
+    const port = await server.listen();
+    const crowd = {port, count: 12, way, head: HEAD, stayMs: 100};
+    const callers = await startLeavingCallers(crowd);
+    const ended = once(callers, 'exit');
+    holdUpLoop(STALL_MS);
+    await ended;
+    await new Promise(resolve => setTimeout(resolve, 200));
+    await server.close();
+    stalls.close();
+    expect(handledCount).toBe(0);
+  },
+);
--- a/packages/caller/test/server.test.ts
+++ b/packages/caller/test/server.test.ts
@@ -11,6 +11,7 @@
   type CallerRequest,
 } from '@wisteriarun/caller';
 import {requestFailure} from '@wisteriarun/core';
+import {createLogger, StallWatch, SystemClock} from '@wisteriarun/runtime';
 
 const closers: (() => unknown)[] = [];
 afterEach(async () => {
@@ -24,6 +25,8 @@
 
 async function start(handle: CallerHandler['handle']) {
   const seen: CallerRequest[] = [];
+  const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+  const stalls = new StallWatch(new SystemClock(), logger);
   const server = new CallerServer(
     {host: '127.0.0.1', port: 0},
     {
@@ -32,9 +35,13 @@
         return handle(request);
       },
     },
+    stalls,
   );
   const port = await server.listen();
-  closers.push(() => void server.close());
+  closers.push(
+    () => void server.close(),
+    () => stalls.close(),
+  );
   return {server, port, seen};
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -20,6 +20,7 @@
   type Clock,
   type Logger,
   type Settings,
+  StallWatch,
 } from '@wisteriarun/runtime';
 import {VmListClient, VmListWatcher} from '@wisteriarun/vm-list';
 import {periodic} from 'most';
@@ -88,6 +89,7 @@
   private readonly duties: PeerDuties;
   private readonly snapshots: SnapshotWriter;
   private readonly relayClient: RelayClient;
+  private readonly stalls: StallWatch;
   private readonly callers: CallerServer;
   private readonly relay: RelayServer;
   private readonly operator: OperatorServer;
@@ -164,7 +166,12 @@
     this.duties = this.createDuties();
     this.snapshots = this.createSnapshotWriter();
     this.relayClient = new RelayClient(trust.deploymentSecret);
-    this.callers = new CallerServer(settings.caller, this.createEntry());
+    this.stalls = new StallWatch(clock, this.logger);
+    this.callers = new CallerServer(
+      settings.caller,
+      this.createEntry(),
+      this.stalls,
+    );
     this.relay = new RelayServer(
       {...settings.relay, secret: trust.deploymentSecret},
       this.dispatcher,
@@ -230,6 +237,7 @@
     if (this.closed) return;
     this.closed = true;
     this.daemonMetrics.close();
+    this.stalls.close();
     this.emit({kind: 'stopped'});
     this.runner.close();
     this.vmList.close();
--- a/packages/daemon/test/request-harness.ts
+++ b/packages/daemon/test/request-harness.ts
@@ -1,4 +1,5 @@
 /** Two entry VMs with one dispatcher and fake servers, for request tests. */
+import {createLogger, StallWatch} from '@wisteriarun/runtime';
 import {randomBytes} from 'node:crypto';
 import {
   createServer,
@@ -238,6 +239,9 @@
     );
     this.remote.relayPort = await relay.listen();
     const client = new RelayClient('x');
+    const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+    const stalls = new StallWatch(clock, logger);
+    this.closers.push(() => stalls.close());
     for (const name of ['local', 'remote'] as const) {
       const server = new CallerServer(
         {host: '127.0.0.1', port: 0},
@@ -248,6 +252,7 @@
           relay: client,
           random: Math.random,
         }),
+        stalls,
       );
       this.ports[name] = await server.listen();
       this.closers.push(() => void server.close());
--- a/packages/gateway/test/caller-gone.test.ts
+++ b/packages/gateway/test/caller-gone.test.ts
@@ -1,4 +1,3 @@
-import {spawn} from 'node:child_process';
 import {EventEmitter, once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {GatewayRoute, GatewayService} from '@wisteriarun/core';
@@ -9,7 +8,8 @@
   StallWatch,
   SystemClock,
 } from '@wisteriarun/runtime';
-import {holdUpLoop} from '@wisteriarun/standins';
+import {holdUpLoop, startLeavingCallers} from '@wisteriarun/standins';
+import type {Leaving} from '@wisteriarun/standins';
 import {describe, expect, it, vi} from 'vitest';
 import {CrashWatch} from '../src/entry/crash-watch.js';
 import {CallerIngress} from '../src/entry/ingress.js';
@@ -123,35 +123,11 @@
   });
 });
 
-/** How a caller in another process leaves. */
-const LEAVING = {close: 'destroy', reset: 'resetAndDestroy'} as const;
-type Leaving = keyof typeof LEAVING;
 /** Time in which the callers send their requests and leave. */
 const STAY_MS = 100;
 /** A request that reaches a server later than this after its caller left is work for nobody. */
 const LATE_MS = 500;
 
-/** Sends requests at once and leaves before most can be read. */
-function startCallers(port: number, callerCount: number, way: Leaving) {
-  const script = `
-    const {connect} = require('node:net');
-    const {${LEAVING[way]}: leave} = require('node:net').Socket.prototype;
-    process.stdout.write('ready');
-    setTimeout(() => {
-      for (let count = 0; count < ${callerCount}; count += 1) {
-        const socket = connect(${port}, '127.0.0.1', () => {
-          socket.write('GET /x HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n');
-          setTimeout(() => leave.call(socket), ${STAY_MS});
-        });
-        socket.on('error', () => {});
-      }
-    }, 100);
-  `;
-  return spawn(process.execPath, ['-e', script], {
-    stdio: ['ignore', 'pipe', 'inherit'],
-  });
-}
-
 interface Crowd {
   readonly callerCount: number;
   readonly way: Leaving;
@@ -172,12 +148,17 @@
   }, stalls);
   const [port = 0] = await freePorts(1);
   await ingress.listen(`127.0.0.1:${port}`);
-  const callers = startCallers(port, crowd.callerCount, crowd.way);
+  const callers = await startLeavingCallers({
+    port,
+    count: crowd.callerCount,
+    way: crowd.way,
+    head: ['GET /x HTTP/1.1', 'Host: h'],
+    stayMs: STAY_MS,
+  });
   let leftAtMs = Infinity;
   const ended = once(callers, 'exit').then(() => {
     leftAtMs = performance.now();
   });
-  await once(callers.stdout, 'data');
   holdUpLoop(crowd.stallMs);
   await ended;
   await vi.waitFor(() => expect(requestCount).toBe(crowd.callerCount), 5_000);
--- a/testing/standins/src/held-up.ts
+++ b/testing/standins/src/held-up.ts
@@ -62,3 +62,60 @@
     this.child.kill();
   }
 }
+
+/** How a caller leaves: it closes its connection, or resets it. */
+export type Leaving = 'close' | 'reset';
+
+/** Method of a socket for each way to leave. */
+const LEAVE_METHODS: Readonly<Record<Leaving, string>> = {
+  close: 'destroy',
+  reset: 'resetAndDestroy',
+};
+/** Time until the callers connect, in which the loop can be held up. */
+const CALLERS_START_MS = 100;
+
+/** Callers that leave. */
+export interface LeavingCallers {
+  readonly port: number;
+  readonly count: number;
+  readonly way: Leaving;
+  /** Head of the request that each of them sends. */
+  readonly head: readonly string[];
+  /** Time in which the callers send their requests and leave. */
+  readonly stayMs: number;
+}
+
+/**
+ * Starts a process that sends requests at once and leaves before they are
+ * answered.
+ *
+ * @param callers - The callers.
+ * @returns The process, which is ready and connects a moment later.
+ */
+export async function startLeavingCallers({
+  port,
+  count,
+  way,
+  head,
+  stayMs,
+}: LeavingCallers): Promise<ChildProcess> {
+  const text = [...head, '', ''].join('\r\n');
+  const script = `
+    const {connect} = require('node:net');
+    process.stdout.write('ready');
+    setTimeout(() => {
+      for (let started = 0; started < ${count}; started += 1) {
+        const socket = connect(${port}, '127.0.0.1', () => {
+          socket.write(${JSON.stringify(text)});
+          setTimeout(() => socket.${LEAVE_METHODS[way]}(), ${stayMs});
+        });
+        socket.on('error', () => {});
+      }
+    }, ${CALLERS_START_MS});
+  `;
+  const child = spawn(process.execPath, ['-e', script], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  await once(child.stdout, 'data');
+  return child;
+}
