End calls of servers that send without end

Found with a process that floods, in twelve ways: grants and releases read bodies and interim answers for their whole time, which kept the event loop busy for 1.3 s at 0.6 s; an attempt read interim answers until its end. Heads were bounded already, answers of requests after 256 KiB without a signature.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -9,6 +9,8 @@
 
 /** Answers up to this size are checked whole before the caller sees any. */
 const BUFFERED_BYTES = 262_144;
+/** Interim answers before the final one; servers have no use for more. */
+const MAX_INTERIM_ANSWERS = 16;
 /** Statuses that promise that the request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MISDIRECTED = 421;
@@ -79,6 +81,7 @@
   #controller: Dispatcher.DispatchController | null = null;
   #socket: Socket | null = null;
   #isCancelled = false;
+  #interimCount = 0;
   #status = 0;
   #headers: AnswerHeaders = {};
   #chunks: Buffer[] = [];
@@ -162,7 +165,14 @@
     status: number,
     headers: AnswerHeaders,
   ): void {
-    if (status < 200) return;
+    if (this.#isSettled) return;
+    if (status < 200) {
+      this.#interimCount += 1;
+      if (this.#interimCount <= MAX_INTERIM_ANSWERS) return;
+      this.#fail('wrong-answer');
+      controller.abort(new AttemptAborted('interim answers without end'));
+      return;
+    }
     this.#status = status;
     this.#headers = headers;
     const {id} = this.request;
--- /dev/null
+++ b/testing/standins/src/flooding-process.ts
@@ -0,0 +1,103 @@
+/** A server in trouble: it sends bytes without end. */
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+
+const OK = 'HTTP/1.1 200 OK\r\n';
+const SIGNED = 'request-id: ID\r\nresponse-signature: x\r\n';
+const CHUNKED = 'transfer-encoding: chunked\r\n\r\n';
+
+/**
+ * What comes without end, as the bytes before it and the bytes that repeat;
+ * ID stands for the id of the request.
+ */
+export const FLOODS = {
+  'bytes that are no answer': ['', '\0\x01?'],
+  'interim answers': ['', 'HTTP/1.1 102 Processing\r\n\r\n'],
+  'a status line': ['HTTP/1.1 200 ', 'a'],
+  'a header': [`${OK}x-a: `, 'a'],
+  headers: [OK, 'x-a: b\r\n'],
+  'a body in chunks': [`${OK}${SIGNED}${CHUNKED}`, '4\r\naaaa\r\n'],
+  'a body without a signature': [
+    `${OK}request-id: ID\r\n${CHUNKED}`,
+    '4\r\naaaa\r\n',
+  ],
+  'a body without a length': [`${OK}${SIGNED}connection: close\r\n\r\n`, 'a'],
+  'the body of a refusal': [
+    `HTTP/1.1 503 Full\r\nrequest-id: ID\r\nnot-executed: 1\r\n${CHUNKED}`,
+    '4\r\naaaa\r\n',
+  ],
+  'a chunk extension': [`${OK}${SIGNED}${CHUNKED}4;`, 'a'],
+  trailers: [`${OK}${SIGNED}${CHUNKED}0\r\n`, 'x-a: b\r\n'],
+  'bytes after an answer': [`${OK}${SIGNED}content-length: 2\r\n\r\nok`, 'a'],
+} as const satisfies Record<string, readonly [string, string]>;
+
+/** Name of what comes without end. */
+export type Flood = keyof typeof FLOODS;
+
+/** Bytes of one write. */
+const WRITE_BYTES = 65_536;
+
+/** Sends a flood to whoever sends a request. */
+export class FloodingProcess {
+  /** Connections that it floods. */
+  connectionCount = 0;
+
+  private constructor(
+    private readonly child: ChildProcess,
+    /** Address as host:port. */
+    readonly address: string,
+  ) {
+    child.stdout!.on('data', (text: Buffer) => {
+      const lines = text.toString('utf8').trim().split('\n');
+      this.connectionCount = Number(lines.at(-1));
+    });
+  }
+
+  /**
+   * Starts the process.
+   *
+   * @param flood - What it sends.
+   * @returns The process, which listens.
+   */
+  static async start(flood: Flood): Promise<FloodingProcess> {
+    const [prefix, repeated] = FLOODS[flood];
+    const script = `
+      const prefix = ${JSON.stringify(prefix)};
+      const repeated = ${JSON.stringify(repeated)};
+      const block = Buffer.from(
+        repeated.repeat(Math.ceil(${WRITE_BYTES} / repeated.length)), 'latin1');
+      let connections = 0;
+      const report = change => {
+        connections += change;
+        process.stdout.write(connections + '\\n');
+      };
+      const server = require('node:net').createServer(socket => {
+        socket.on('error', () => {});
+        socket.once('data', head => {
+          report(1);
+          socket.on('close', () => report(-1));
+          const id = /request-id: (\\S+)/i.exec(head.toString('latin1'));
+          socket.write(prefix.replace('ID', id ? id[1] : ''));
+          const pump = () => {
+            while (!socket.destroyed && socket.write(block));
+          };
+          socket.on('drain', pump);
+          pump();
+        });
+      });
+      server.listen(0, '127.0.0.1', () =>
+        process.stdout.write(server.address().port + '\\n'));
+    `;
+    const child = spawn(process.execPath, ['-e', script], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const [port] = await once(child.stdout, 'data');
+    return new FloodingProcess(child, `127.0.0.1:${String(port).trim()}`);
+  }
+
+  /** Ends the process. */
+  close(): void {
+    this.child.kill();
+  }
+}
--- a/testing/standins/src/index.ts
+++ b/testing/standins/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * from './flooding-process.js';
 export * from './held-up.js';
 export * from './backend-server.js';
 export * from './caller-load.js';
