Read answers to the daemon that have arrived before a wait for them ends

The cause of the false losses of servers, in the daemon: after a stall the timers of lease and status calls, requests and calls of the log ran before the answers that had come were read.

--- a/packages/backend/src/client.ts
+++ b/packages/backend/src/client.ts
@@ -1,6 +1,7 @@
 /** Client of one backend server. */
 import {Readable} from 'node:stream';
 import {DecoratorHandler, Pool, type Dispatcher} from 'undici';
+import {AnswerTimer} from '@wisteriarun/runtime';
 import {Result} from 'true-myth';
 import {
   CANCEL_PATH_PREFIX,
@@ -135,16 +136,15 @@
       beforeWrite: request.beforeWrite,
     };
     const deadline = new AbortController();
-    const timer = setTimeout(
-      () => deadline.abort(new Error('deadline passed')),
-      Math.max(0, request.remainingMs),
+    const timer = new AnswerTimer(Math.max(0, request.remainingMs), () =>
+      deadline.abort(new Error('deadline passed')),
     );
     const cancel = () => {
       if (progress.written) void this.cancel(request.id);
     };
     request.signal.addEventListener('abort', cancel, {once: true});
     const settle = () => {
-      clearTimeout(timer);
+      timer.close();
       request.signal.removeEventListener('abort', cancel);
     };
     try {
@@ -223,13 +223,17 @@
     body: LeaseRequest | null,
   ): Promise<Result<ServerStatus, WisteriarunError>> {
     const {id} = this.target;
+    const limit = new AbortController();
+    const timer = new AnswerTimer(CONTROL_TIMEOUT_MS, () =>
+      limit.abort(new Error(`no answer within ${CONTROL_TIMEOUT_MS} ms`)),
+    );
     try {
       const answer = await this.control.request({
         method,
         path,
         headers: body ? {'content-type': 'application/json'} : {},
         body: body ? JSON.stringify(body) : null,
-        signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+        signal: limit.signal,
       });
       const content: unknown = await answer.body.json();
       if (answer.statusCode === STATUS_CONFLICT) {
@@ -243,6 +247,8 @@
       return Result.err(ERRORS.serverUnreachable(id, detail));
     } catch (error) {
       return Result.err(ERRORS.serverUnreachable(id, detailOf(error)));
+    } finally {
+      timer.close();
     }
   }
 }
--- a/packages/log/src/log-client.ts
+++ b/packages/log/src/log-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client of the log service. */
 import {ERRORS, type LogRecord, type StoredRecord} from '@wisteriarun/core';
+import {AnswerTimer} from '@wisteriarun/runtime';
 import {Result} from 'true-myth';
 import {Pool} from 'undici';
 import * as z from 'zod';
@@ -223,13 +224,13 @@
   const stop = () => controller.abort(new Error('given up'));
   const expire = () =>
     controller.abort(new Error(`no answer within ${Math.ceil(timeoutMs)} ms`));
-  const timer = setTimeout(expire, timeoutMs);
+  const timer = new AnswerTimer(timeoutMs, expire);
   signal?.addEventListener('abort', stop, {once: true});
   if (signal?.aborted) stop();
   return {
     signal: controller.signal,
     release: () => {
-      clearTimeout(timer);
+      timer.close();
       signal?.removeEventListener('abort', stop);
     },
   };
