Bound the status that the daemon reads from a server

A server that sends a status without end cost the daemon 154 to 197 MB in the 0.5 s of the call; a refusal whose body does not end kept its connection without a limit of time. A status is read up to 4 MiB, and the deadline ends the body of a refusal. Test: twelve kinds of endless answers, three failed before.

--- a/packages/backend/src/client.ts
+++ b/packages/backend/src/client.ts
@@ -25,6 +25,8 @@
 
 const CONTROL_TIMEOUT_MS = 500;
 const CONNECT_TIMEOUT_MS = 500;
+/** Bytes of a status; one names all shards with running requests. */
+const MAX_STATUS_BYTES = 4 * 1024 * 1024;
 const KEEP_ALIVE_MS = 30_000;
 /** Largest number of cancel calls that wait for their answers. */
 const MAX_CANCELS = 32;
@@ -158,8 +160,11 @@
       } as Dispatcher.RequestOptions);
       const refusal = refusalOf(answer.statusCode, answer.headers);
       if (refusal) {
-        settle();
-        void answer.body.dump().catch(() => {});
+        // The deadline also ends a body that does not end by itself.
+        void answer.body
+          .dump()
+          .catch(() => {})
+          .finally(settle);
         return refusal;
       }
       answer.body.once('close', settle);
@@ -235,7 +240,7 @@
         body: body ? JSON.stringify(body) : null,
         signal: limit.signal,
       });
-      const content: unknown = await answer.body.json();
+      const content = await readJson(answer.body);
       if (answer.statusCode === STATUS_CONFLICT) {
         return Result.err(ERRORS.leaseRefused(id, termOf(content)));
       }
@@ -253,6 +258,18 @@
   }
 }
 
+/** Reads a body of bounded size; leaving it early closes its connection. */
+async function readJson(body: Readable): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > MAX_STATUS_BYTES) throw new Error('the status is too large');
+    chunks.push(chunk);
+  }
+  return JSON.parse(Buffer.concat(chunks, bytes).toString('utf8'));
+}
+
 function requestHeaders(request: BackendRequest): HeaderMap {
   const {fence} = request;
   return {
--- a/packages/backend/test/trouble.test.ts
+++ b/packages/backend/test/trouble.test.ts
@@ -1,15 +1,71 @@
 import {BackendClient} from '@wisteriarun/backend';
-import {AnsweringProcess, holdUpBeforeTimers} from '@wisteriarun/standins';
-import {expect, it} from 'vitest';
+import {
+  AnsweringProcess,
+  FloodingProcess,
+  FLOODS,
+  holdUpBeforeTimers,
+} from '@wisteriarun/standins';
+import type {Flood} from '@wisteriarun/standins';
+import {afterEach, describe, expect, it, vi} from 'vitest';
 
 /** Limit of control calls, with time for the events that are pending then. */
 const LIMIT_MS = 500 + 300;
+/** Far less than a server in trouble sends within the limit. */
+const MAX_GROWTH_BYTES = 48 * 1_048_576;
+const KINDS = Object.keys(FLOODS) as Flood[];
+
 function clientOf(address: string): BackendClient {
   const [host = '', port] = address.split(':');
   const target = {id: 'srv', host, port: Number(port), connections: 2};
   return new BackendClient(target);
 }
 
+describe('a server that sends without end', () => {
+  let server: FloodingProcess;
+  let client: BackendClient;
+
+  afterEach(async () => {
+    await client.close();
+    server.close();
+  });
+
+  it.each(KINDS)('costs a status neither time nor memory: %s', async kind => {
+    server = await FloodingProcess.start(kind);
+    client = clientOf(server.address);
+    const {arrayBuffers, heapUsed} = process.memoryUsage();
+    const startedAtMs = performance.now();
+    const status = await client.status();
+    const tookMs = performance.now() - startedAtMs;
+    const after = process.memoryUsage();
+    expect(tookMs).toBeLessThan(LIMIT_MS);
+    expect(
+      after.arrayBuffers + after.heapUsed - arrayBuffers - heapUsed,
+    ).toBeLessThan(MAX_GROWTH_BYTES);
+    expect(status.isErr).toBe(true);
+    await vi.waitFor(() => expect(server.connectionCount).toBe(0));
+  });
+
+  it('does not keep the connection of a refusal', async () => {
+    server = await FloodingProcess.start('the body of a refusal');
+    client = clientOf(server.address);
+    const result = await client.send({
+      id: 'r1',
+      method: 'GET',
+      path: '/s/k',
+      headers: {},
+      service: 's',
+      shard: 7,
+      epoch: 12,
+      fence: {term: 3, seq: 4},
+      remainingMs: 400,
+      body: null,
+      signal: new AbortController().signal,
+    });
+    expect(result.kind).toBe('not-run');
+    await vi.waitFor(() => expect(server.connectionCount).toBe(0));
+  });
+});
+
 it('reads a status that came while the loop was held up', async () => {
   const body = {
     bootId: 'b',
--- a/testing/standins/src/flooding-process.ts
+++ b/testing/standins/src/flooding-process.ts
@@ -24,7 +24,7 @@
   ],
   'a body without a length': [`${OK}${SIGNED}connection: close\r\n\r\n`, 'a'],
   'the body of a refusal': [
-    `HTTP/1.1 503 Full\r\nrequest-id: ID\r\nnot-executed: 1\r\n${CHUNKED}`,
+    `HTTP/1.1 503 Full\r\nrequest-id: ID\r\nnot-executed: 1\r\nwisteriarun-outcome: not-run\r\n${CHUNKED}`,
     '4\r\naaaa\r\n',
   ],
   'a chunk extension': [`${OK}${SIGNED}${CHUNKED}4;`, 'a'],
