Read relayed answers that have arrived before a wait for them ends

The last waits of the daemon whose timers ran before pending answers were read: the relay between VMs.

--- a/packages/peer/src/relay/client.ts
+++ b/packages/peer/src/relay/client.ts
@@ -17,6 +17,7 @@
   type HeaderMap,
   type Reason,
 } from '@wisteriarun/core';
+import {AnswerTimer} from '@wisteriarun/runtime';
 import type {RelayRequest, RelayResult} from './types.js';
 import {SERVER_HEADER, SERVER_TIME_HEADER} from './wire.js';
 
@@ -101,7 +102,7 @@
   private mayBeWritten = false;
   private timedOut = false;
   private settled = false;
-  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly timers: AnswerTimer[] = [];
 
   constructor(
     agent: Agent,
@@ -131,7 +132,7 @@
     request.signal.addEventListener('abort', onAbort, {once: true});
     out.once('close', () => {
       request.signal.removeEventListener('abort', onAbort);
-      for (const timer of this.timers) clearTimeout(timer);
+      for (const timer of this.timers) timer.close();
       settle(this.lost());
     });
     out.on('error', () => settle(this.lost()));
@@ -142,18 +143,18 @@
         this.mayBeWritten = true;
         return;
       }
-      const timer = setTimeout(() => out.destroy(), CONNECT_TIMEOUT_MS);
+      const timer = new AnswerTimer(CONNECT_TIMEOUT_MS, () => out.destroy());
       this.timers.push(timer);
       socket.once('connect', () => {
-        clearTimeout(timer);
+        timer.close();
         this.mayBeWritten = true;
       });
     });
     this.timers.push(
-      setTimeout(() => {
+      new AnswerTimer(request.remainingMs + DEADLINE_GRACE_MS, () => {
         this.timedOut = true;
         out.destroy();
-      }, request.remainingMs + DEADLINE_GRACE_MS),
+      }),
     );
     out.once('response', answer => settle(this.resultOf(answer)));
     this.upload();
