Test callers that leave at each step of a request

Callers now leave in the middle of a body, while their request runs, waits for a slot or for keys that move, by a close and by a reset. The server stand-in drops waiting requests whose connection is closed, as most servers do.

--- /dev/null
+++ b/packages/gateway/test/caller-leaves.test.ts
@@ -0,0 +1,91 @@
+import {connect} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {GatewayHarness, resources} from './harness.js';
+
+const WORK_MS = 1_200;
+const ROUTE_TIMEOUT_MS = 5_000;
+/** Time after which work for a caller that has left counts as late. */
+const LATE_MS = 500;
+const KEY = 7;
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+describe.each(['close', 'reset'] as const)(
+  'a caller that leaves by a %s',
+  way => {
+    let harness: GatewayHarness;
+
+    beforeEach(async () => {
+      harness = new GatewayHarness();
+      await harness.start();
+      harness.publish(resources(ROUTE_TIMEOUT_MS));
+      await harness.addServer('records', {id: 'i-1', slots: 1});
+      await harness.addServer('records', {id: 'i-2'});
+      await harness.addGateway('vm-1');
+      slow().workMs = WORK_MS;
+    });
+
+    afterEach(() => harness.close());
+
+    const slow = () => harness.members[0]!.server;
+    const runsOf = (id: string) =>
+      harness.members.flatMap(({server}) =>
+        server.runs.filter(run => run.id === id),
+      );
+
+    /** Sends a part of a request, and leaves after a time. */
+    async function leaveAfter(ms: number, id: string, text: string) {
+      const [host, port] = harness.gateways[0]!.callers.split(':');
+      const socket = connect(Number(port), host);
+      socket.on('error', () => {});
+      const head = `Host: court.example\r\nRequest-Id: ${id}\r\nShard-Key: ${KEY}`;
+      socket.write(text.replace('HEAD', `${head}\r\nDeadline-Ms: 3000\r\n`));
+      await sleep(ms);
+      if (way === 'close') socket.destroy();
+      else socket.resetAndDestroy();
+    }
+
+    const read = 'GET /read/x HTTP/1.1\r\nHEAD\r\n';
+
+    it('in the middle of a body has nothing run', async () => {
+      const half = 'POST /file/x HTTP/1.1\r\nHEADContent-Length: 9\r\n\r\nhalf';
+      await leaveAfter(50, 'half', half);
+      await sleep(LATE_MS);
+      expect(runsOf('half')).toEqual([]);
+    });
+
+    it('while its read runs has it ended at the server', async () => {
+      await leaveAfter(100, 'running', read);
+      expect(runsOf('running')).toHaveLength(1);
+      await sleep(LATE_MS);
+      expect(slow().dropped).toContain('running');
+    });
+
+    it('while its read waits for a slot has it not run', async () => {
+      const first = harness.call('GET', '/read/x', {
+        key: KEY,
+        deadlineMs: 3_000,
+      });
+      await sleep(50);
+      await leaveAfter(100, 'waiting', read);
+      await first;
+      await sleep(LATE_MS);
+      expect(runsOf('waiting')).toEqual([]);
+    });
+
+    it('while its key moves has nothing run', async () => {
+      const first = harness.call('GET', '/read/x', {
+        key: KEY,
+        deadlineMs: 3_000,
+      });
+      await sleep(50);
+      // The release is answered when the running work has ended.
+      harness.drain('i-1');
+      await harness.until(() => !slow().holds(KEY));
+      await leaveAfter(100, 'moving', read);
+      await first;
+      await sleep(LATE_MS);
+      expect(runsOf('moving')).toEqual([]);
+    });
+  },
+);
--- a/testing/standins/src/platform/key-server.ts
+++ b/testing/standins/src/platform/key-server.ts
@@ -62,10 +62,14 @@
 /** Holds keys, runs requests and keeps a record of both. */
 export class KeyServer {
   answerFault: AnswerFault = 'none';
+  /** Time that a run takes. */
+  workMs: number;
   /** Calls that get no answer although they take effect. */
   losesGrantAnswers = false;
   readonly runs: KeyServerRun[] = [];
-  readonly #options: Required<KeyServerOptions>;
+  /** Ids of requests whose connection was closed before their answer. */
+  readonly dropped: string[] = [];
+  readonly #options: Required<Omit<KeyServerOptions, 'workMs'>>;
   readonly #held: Held[] = Array.from({length: KEY_COUNT}, () => ({
     fence: 0,
     untilMs: 0,
@@ -79,11 +83,11 @@
   /**
    * @param options - Options of the server.
    */
-  constructor(options: KeyServerOptions) {
+  constructor({workMs = 1, ...options}: KeyServerOptions) {
+    this.workMs = workMs;
     this.#options = {
       slots: 3,
       queue: 12,
-      workMs: 1,
       checksKeys: true,
       resetsWhenFull: false,
       ...options,
@@ -165,9 +169,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const {id, slots, queue, workMs, checksKeys, resetsWhenFull} =
-      this.#options;
+    const {id, slots, queue, checksKeys, resetsWhenFull} = this.#options;
     const requestId = String(request.headers['request-id'] ?? '');
+    response.once('close', () => {
+      if (!response.writableFinished) this.dropped.push(requestId);
+    });
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const load = () => `${this.#running},${this.#waiting.length},${slots}`;
@@ -190,6 +196,10 @@
         return;
       }
       await new Promise<void>(resolve => this.#waiting.push(resolve));
+      if (request.socket.destroyed) {
+        this.#waiting.shift()?.();
+        return;
+      }
     }
     this.#running += 1;
     this.runs.push({
@@ -198,7 +208,7 @@
       deadlineMs: Number(request.headers['deadline-ms']),
       body: Buffer.concat(chunks).toString('utf8'),
     });
-    await new Promise(resolve => setTimeout(resolve, workMs));
+    await new Promise(resolve => setTimeout(resolve, this.workMs));
     this.#running -= 1;
     this.#waiting.shift()?.();
     this.#answer(request, response, requestId, load());
