--- a/testing/standins/src/flooding-process.ts
+++ b/testing/standins/src/flooding-process.ts
@@ -1,7 +1,6 @@
 /** A server in trouble: it sends bytes without end. */
-import {spawn} from 'node:child_process';
-import type {ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
+import {startScript} from './utils/script-process.js';
+import type {ScriptProcess} from './utils/script-process.js';
 
 const OK = 'HTTP/1.1 200 OK\r\n';
 const SIGNED = 'request-id: ID\r\nresponse-signature: x\r\n';
@@ -44,11 +43,11 @@
   connectionCount = 0;
 
   private constructor(
-    private readonly child: ChildProcess,
+    private readonly child: ScriptProcess,
     /** Address as host:port. */
     readonly address: string,
   ) {
-    child.stdout!.on('data', (text: Buffer) => {
+    child.stdout.on('data', (text: Buffer) => {
       const lines = text.toString('utf8').trim().split('\n');
       this.connectionCount = Number(lines.at(-1));
     });
@@ -89,11 +88,8 @@
       server.listen(0, '127.0.0.1', () =>
         process.stdout.write(server.address().port + '\\n'));
     `;
-    const child = spawn(process.execPath, ['-e', script], {
-      stdio: ['ignore', 'pipe', 'inherit'],
-    });
-    const [port] = await once(child.stdout, 'data');
-    return new FloodingProcess(child, `127.0.0.1:${String(port).trim()}`);
+    const {child, printed: port} = await startScript(script);
+    return new FloodingProcess(child, `127.0.0.1:${port}`);
   }
 
   /** Ends the process. */
--- a/testing/standins/src/held-up.ts
+++ b/testing/standins/src/held-up.ts
@@ -1,7 +1,6 @@
 /** What tests of a held up event loop need: an outside that goes on. */
-import {spawn} from 'node:child_process';
-import type {ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
+import {startScript} from './utils/script-process.js';
+import type {ScriptProcess} from './utils/script-process.js';
 
 /**
  * Keeps the event loop of this process busy.
@@ -26,7 +25,7 @@
 /** A server in a process of its own, which answers every request with 200. */
 export class AnsweringProcess {
   private constructor(
-    private readonly child: ChildProcess,
+    private readonly child: ScriptProcess,
     /** Address as host:port. */
     readonly address: string,
   ) {}
@@ -50,10 +49,7 @@
       server.listen(0, '127.0.0.1', () =>
         process.stdout.write(String(server.address().port)));
     `;
-    const child = spawn(process.execPath, ['-e', script], {
-      stdio: ['ignore', 'pipe', 'inherit'],
-    });
-    const [port] = await once(child.stdout, 'data');
+    const {child, printed: port} = await startScript(script);
     return new AnsweringProcess(child, `127.0.0.1:${port}`);
   }
 
@@ -98,7 +94,7 @@
   way,
   head,
   stayMs,
-}: LeavingCallers): Promise<ChildProcess> {
+}: LeavingCallers): Promise<ScriptProcess> {
   const text = [...head, '', ''].join('\r\n');
   const script = `
     const {connect} = require('node:net');
@@ -113,9 +109,6 @@
       }
     }, ${CALLERS_START_MS});
   `;
-  const child = spawn(process.execPath, ['-e', script], {
-    stdio: ['ignore', 'pipe', 'inherit'],
-  });
-  await once(child.stdout, 'data');
+  const {child} = await startScript(script);
   return child;
 }
--- /dev/null
+++ b/testing/standins/src/utils/script-process.ts
@@ -0,0 +1,24 @@
+/** Scripts that run in a process of their own. */
+import {spawn} from 'node:child_process';
+import type {ChildProcessByStdio} from 'node:child_process';
+import {once} from 'node:events';
+import type {Readable} from 'node:stream';
+
+/** A process whose standard output is read. */
+export type ScriptProcess = ChildProcessByStdio<null, Readable, null>;
+
+/**
+ * Starts a script.
+ *
+ * @param script - JavaScript that prints something when it is ready.
+ * @returns The process, and what it printed first.
+ */
+export async function startScript(
+  script: string,
+): Promise<{child: ScriptProcess; printed: string}> {
+  const child = spawn(process.execPath, ['-e', script], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const [printed] = (await once(child.stdout, 'data')) as [Buffer];
+  return {child, printed: printed.toString('utf8').trim()};
+}
