Close a connection as idle only when its answers are written

Node's closeIdleConnections regards a connection as idle as soon as its answer was ended, though its bytes may still wait for a slow reader.

The caller server now counts unfinished answers and received bytes of each connection and closes only those without either. Ruled out: the end of the process (the closes came 1 s earlier) and the streamed path, which ends an answer only after its last bytes.

--- a/packages/gateway/src/entry/ingress.ts
+++ b/packages/gateway/src/entry/ingress.ts
@@ -1,6 +1,7 @@
 /** HTTP listeners for callers, readiness checks and metrics. */
-import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer, Server} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {CallerLimits, VmState} from '@wisteriarun/core';
 import type {StallWatch} from '@wisteriarun/runtime';
 import {
@@ -18,9 +19,64 @@
 /** Header limit until the first bundle sets one. */
 const DEFAULT_MAX_HEADER_BYTES = 65_536;
 
+interface CallerConnection {
+  /** Answers that are not completely written to the socket. */
+  unfinishedAnswers: number;
+  /** Bytes received from the caller when the last answer was written. */
+  servedBytes: number;
+}
+
+/**
+ * HTTP server that closes a connection as idle only once all bytes of its answers
+ * were written to the socket. Node's own check regards a connection as idle as
+ * soon as its answer was ended, and would cut off the bytes that still wait for a
+ * slow reader.
+ */
+class CallerServer extends Server {
+  readonly #connections = new Map<Socket, CallerConnection>();
+
+  /**
+   * Counts a new connection.
+   *
+   * @param socket - The connection.
+   */
+  connectionOpened(socket: Socket): void {
+    this.#connections.set(socket, {unfinishedAnswers: 0, servedBytes: 0});
+    socket.once('close', () => this.#connections.delete(socket));
+  }
+
+  /**
+   * Counts an answer of a connection until it is written or broken off.
+   *
+   * @param socket - The connection.
+   * @param response - The answer.
+   */
+  answerStarted(socket: Socket, response: ServerResponse): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined) return;
+    connection.unfinishedAnswers += 1;
+    response.once('close', () => {
+      connection.unfinishedAnswers -= 1;
+      connection.servedBytes = socket.bytesRead;
+    });
+  }
+
+  /**
+   * Closes connections that have neither an unfinished answer nor received a part
+   * of a request since the last one. `close` calls it too.
+   */
+  override closeIdleConnections(): void {
+    for (const [socket, connection] of this.#connections) {
+      const isReceiving = socket.bytesRead > connection.servedBytes;
+      if (connection.unfinishedAnswers > 0 || isReceiving) continue;
+      socket.destroy();
+    }
+  }
+}
+
 /** HTTP server for callers; its limits are set by the bundle in force. */
 export class CallerIngress {
-  readonly #httpServer: Server;
+  readonly #httpServer: CallerServer;
   #inFlight = 0;
   #isDraining = false;
 
@@ -32,7 +88,7 @@
     handle: (request: IncomingMessage, response: ServerResponse) => unknown,
     stallWatch: StallWatch,
   ) {
-    this.#httpServer = createServer(
+    this.#httpServer = new CallerServer(
       {
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
@@ -45,11 +101,15 @@
       (request, response) => {
         this.#inFlight += 1;
         response.once('close', () => (this.#inFlight -= 1));
+        this.#httpServer.answerStarted(request.socket, response);
         if (this.#isDraining) response.shouldKeepAlive = false;
         handle(request, response);
       },
     );
-    this.#httpServer.on('connection', () => stallWatch.connectionAccepted());
+    this.#httpServer.on('connection', socket => {
+      this.#httpServer.connectionOpened(socket);
+      stallWatch.connectionAccepted();
+    });
   }
 
   /** Number of requests that are not finished. */
--- a/testing/standins/src/platform/backend-server.ts
+++ b/testing/standins/src/platform/backend-server.ts
@@ -54,6 +54,8 @@
    * false.
    */
   readonly resetsWhenFull?: boolean;
+  /** Size of an answer's body; 0 for a short text. Default 0. */
+  readonly answerBytes?: number;
 }
 
 /** A request that the server executed. */
@@ -110,6 +112,7 @@
       maxQueueLength: 12,
       checksKeys: true,
       resetsWhenFull: false,
+      answerBytes: 0,
       ...options,
     };
   }
@@ -258,8 +261,8 @@
     requestId: string,
     load: string,
   ): void {
-    const {id} = this.#options;
-    const body = `answer of ${id}`;
+    const {id, answerBytes} = this.#options;
+    const body = `answer of ${id}`.padEnd(answerBytes, '.');
     const headers: Record<string, string> = {
       'request-id': requestId,
       'response-signature': `${id}.${requestId}`,
