Give two backend server tests fixed times with room for a busy machine

The crash test drew its service time from an exponential distribution, so that a request could be answered before the crash; the lease test allowed 50 ms from the write of the lease to the arrival of the request. Both checks are unchanged: the crash test uses a fixed service time, the lease ends at 500 ms and the request runs for 800 ms.

--- a/testing/standins/test/backend-server.test.ts
+++ b/testing/standins/test/backend-server.test.ts
@@ -140,10 +140,10 @@
 
   it('refuses the effect when the lease expires while the request runs', async () => {
     const {server, url} = await startServer({
-      serviceTimeMs: 80,
+      serviceTimeMs: 800,
       serviceTimeShape: 'fixed',
     });
-    await sendLease(url, {expiresAtMs: server.clockMs() + 50});
+    await sendLease(url, {expiresAtMs: server.clockMs() + 500});
     const response = await send(url, {method: 'POST'});
     // The request was started, so it must not be reported as `not-run`.
     expect(response.headers.get('wisteriarun-outcome')).toBe('unknown');
@@ -308,7 +308,10 @@
   );
 
   it('loses its lease and all requests in a crash', async () => {
-    const {server, url} = await startServer({serviceTimeMs: 500});
+    const {server, url} = await startServer({
+      serviceTimeMs: 500,
+      serviceTimeShape: 'fixed',
+    });
     await sendLease(url);
     const {bootId} = server.status();
     const otherRequest = send(url).catch(() => 'lost');
