Serve download routes, and pass over odd server entries

Downloads are now a kind of their own that may be repeated. A kind that is not known is served as unsafe, which may not be repeated, and logged once a version.

A malformed description is logged once at level warn.

--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -16,10 +16,21 @@
 export const FENCES_PER_TERM = 2 ** 20;
 
 /**
- * Whether a request may be repeated: `safe` requests may run more than once;
- * `unsafe` requests and `upload`s, which have large bodies, at most once.
+ * Kind of a request, which decides whether it may be repeated: `safe` requests
+ * and `download`s, which have large answers, may run more than once; `unsafe`
+ * requests and `upload`s, which have large bodies, at most once.
  */
-export type RequestKind = 'safe' | 'unsafe' | 'upload';
+export type RequestKind = 'safe' | 'download' | 'unsafe' | 'upload';
+
+/**
+ * Tells whether requests of a kind may run more than once.
+ *
+ * @param kind - Kind of the request.
+ * @returns True for kinds that are idempotent.
+ */
+export function isIdempotent(kind: RequestKind): boolean {
+  return kind === 'safe' || kind === 'download';
+}
 
 /** Service that gets a weighted part of a route's requests. */
 export interface RoutePart {
@@ -72,6 +83,8 @@
   readonly routes: readonly GatewayRoute[];
   readonly services: readonly GatewayService[];
   readonly limits: CallerLimits;
+  /** What the decoder did not know and read in the safest way, for the log. */
+  readonly warnings: readonly string[];
 }
 
 /** Load that a server reported with an answer, in requests. */
--- a/packages/core/test/range/routing.test.ts
+++ b/packages/core/test/range/routing.test.ts
@@ -28,6 +28,7 @@
     version: 1,
     routes: [route('a', '/'), route('a', '/x/'), route('a', '/x/y/')],
     services: [],
+    warnings: [],
     limits: {
       maxHeaderBytes: 1,
       maxBodyBytes: 1,
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -1,6 +1,11 @@
 /** Serves callers' requests: selects servers, retries and answers. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {parseCount, RetryBudget, singleHeader} from '@wisteriarun/core';
+import {
+  isIdempotent,
+  parseCount,
+  RetryBudget,
+  singleHeader,
+} from '@wisteriarun/core';
 import type {
   CrashRecord,
   FingerprintFields,
@@ -293,7 +298,7 @@
     );
     exchange.onCallerGone = () => {
       // A request that is not safe to repeat runs to its end once it is sent.
-      if (route.kind === 'safe' || !attempt.isSent) {
+      if (isIdempotent(route.kind) || !attempt.isSent) {
         attempt.cancel('caller-gone');
       }
     };
@@ -335,7 +340,7 @@
       case 'answered':
         if (
           outcome.status >= 500 &&
-          route.kind === 'safe' &&
+          isIdempotent(route.kind) &&
           this.#mayRetry(context)
         ) {
           context.triedServers.add(server);
@@ -355,7 +360,7 @@
           exchange.fail(504, outcome.cause);
           return false;
         }
-        if (route.kind === 'safe' && this.#mayRetry(context)) {
+        if (isIdempotent(route.kind) && this.#mayRetry(context)) {
           context.triedServers.add(server);
           return true;
         }
@@ -418,11 +423,10 @@
   }
 
   /**
-   * Whether a request of the route is not safe to repeat (kinds `unsafe` and
-   * `upload`) or has priority 0.
+   * Whether a request of the route may not be repeated or has priority 0.
    */
   #isUrgent(route: GatewayRoute): boolean {
-    return route.kind !== 'safe' || route.priority === 0;
+    return !isIdempotent(route.kind) || route.priority === 0;
   }
 }
 
--- a/packages/gateway/src/store/bundle-holder.ts
+++ b/packages/gateway/src/store/bundle-holder.ts
@@ -112,6 +112,9 @@
       bundle.services.map(service => [service.name, service]),
     );
     this.#rotations = new Map();
+    for (const detail of bundle.warnings) {
+      this.logger.warn('bundle-warning', {version: bundle.version, detail});
+    }
     this.logger.info('bundle-adopted', {
       version: bundle.version,
       routes: bundle.routes.length,
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -12,6 +12,9 @@
  */
 const RELIST_GRACE_MS = 2_000;
 
+/** Limit on the ids that are remembered for malformed descriptions. */
+const MAX_MALFORMED_IDS = 1_000;
+
 /** A server that was added, changed or removed. */
 export type ServerChange =
   | {readonly kind: 'server'; readonly server: GatewayServer}
@@ -27,6 +30,8 @@
   readonly #removalTimers = new Map<string, NodeJS.Timeout>();
   readonly #drainingSinceMs = new Map<string, number>();
   readonly #describedAtMs = new Map<string, number>();
+  /** Ids whose last description was malformed. */
+  readonly #malformedIds = new Set<string>();
   #isLoaded = false;
   #loadedAtMs = Infinity;
   #regainedAtMs = -Infinity;
@@ -168,13 +173,22 @@
     const decoded = this.codec.server(key, value);
     if (decoded.isErr) {
       const detail = 'detail' in decoded.error ? decoded.error.detail : '';
-      this.logger.debug('server-malformed', {server: key, detail});
+      this.#logMalformed(key, detail);
       return this.#registry.find(key) !== null;
     }
+    this.#malformedIds.delete(key);
     this.#updateServer(decoded.value);
     return true;
   }
 
+  /** Logs the first of consecutive malformed descriptions under one id. */
+  #logMalformed(id: string, detail: string): void {
+    if (this.#malformedIds.has(id)) return;
+    if (this.#malformedIds.size >= MAX_MALFORMED_IDS) return;
+    this.#malformedIds.add(id);
+    this.logger.warn('server-malformed', {server: id, detail});
+  }
+
   #updateServer(server: GatewayServer): void {
     const key = server.id;
     this.#cancelRemoval(key);
