Follow servers that say in answers that they leave or want a pause

Server-Leaving: a server that says so counts as draining from its first such answer, for the incarnation that said it, whatever it writes into the log; the VM tells the assigner, which moves the keys. The assigner starts no move while its appends fail, since each would publish and withdraw the move every 100 ms.

Retry-After of a refusal: the VM sends nothing to the server until the pause is over (at most 60 s) and refuses at once, with a Retry-After after its end, spread over half of it. ServerPause in core decides this without I/O.

Late copy of a refusal: the second try of the same request to the same server could take it for its answer, so that a request that ran was answered 503. The connection of the refusal is now closed before the second try.

--- a/packages/core/src/core/range/index.ts
+++ b/packages/core/src/core/range/index.ts
@@ -6,6 +6,7 @@
 export * from './range-table.js';
 export * from './route-index.js';
 export * from './server-load-view.js';
+export * from './server-pause.js';
 export * from './server-registry.js';
 export * from './server-speeds.js';
 export * from './weighted-rotation.js';
--- a/packages/core/src/core/range/server-load-view.ts
+++ b/packages/core/src/core/range/server-load-view.ts
@@ -1,5 +1,6 @@
 /** One VM's estimate of the load of one server. */
 import type {ReportedLoad} from '../../types/index.js';
+import {ServerPause} from './server-pause.js';
 
 /** Weight of a new sample in the averages. */
 const SAMPLE_WEIGHT = 0.2;
@@ -22,6 +23,8 @@
    * lowers the number before it calls `answered`.
    */
   inFlight = 0;
+  /** Time for which the server wants no requests of this VM. */
+  readonly pause = new ServerPause();
   #slots: number;
   /** Requests of other VMs at the server, according to the last report. */
   #otherRequests = 0;
--- a/packages/core/src/types/gateway-ports.ts
+++ b/packages/core/src/types/gateway-ports.ts
@@ -192,6 +192,8 @@
   /** Tells that the server did not run the request. */
   readonly notRun: string;
   readonly load: string;
+  /** Tells that the server is leaving and should get no new requests. */
+  readonly leaving: string;
   /**
    * Parses the load header.
    *
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt to send a request to a server and read its answer. */
 import type {Socket} from 'node:net';
 import type {Readable} from 'node:stream';
+import {parsePauseMs} from '@wisteriarun/core';
 import type {GatewayHeaders, ReportedLoad} from '@wisteriarun/core';
 import {AnswerTimer} from '@wisteriarun/runtime';
 import type {Dispatcher} from 'undici';
@@ -22,6 +23,8 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MISDIRECTED_STATUS = 421;
+/** Value of the header with which a server says that it is leaving. */
+const LEAVING = '1';
 
 /** Headers of an answer, keyed by lower-case name. */
 export type AnswerHeaders = Readonly<
@@ -66,6 +69,8 @@
       readonly kind: 'not-run';
       readonly cause: 'not-sent' | 'refused' | 'misdirected' | 'invalid';
       readonly load: ReportedLoad | null;
+      /** Time for which the server wants no requests; null if it states none. */
+      readonly pauseMs: number | null;
     }
   | {
       /** The request may have run. */
@@ -82,6 +87,14 @@
   | 'timeout'
   | 'caller-gone';
 
+/** Outcome of an attempt that got no connection. */
+const NOT_SENT: AttemptOutcome = {
+  kind: 'not-run',
+  cause: 'not-sent',
+  load: null,
+  pauseMs: null,
+};
+
 /** Reason that is given to undici when an attempt aborts its request. */
 class AttemptAborted extends Error {}
 
@@ -110,12 +123,15 @@
    * @param headerNames - Names of the headers shared with callers and servers,
    * and the parser of the load header.
    * @param sink - Receives an answer that is too large to be buffered.
+   * @param onServerLeaving - Called when an answer says that the server is
+   * leaving, before any of the answer is passed on.
    */
   constructor(
     dispatcher: Dispatcher,
     private readonly request: AttemptRequest,
     private readonly headerNames: GatewayHeaders,
     private readonly sink: AnswerSink,
+    private readonly onServerLeaving: () => void = () => {},
   ) {
     this.outcome = new Promise(resolve => (this.#resolveOutcome = resolve));
     this.#timer = new AnswerTimer(request.timeoutMs, () =>
@@ -149,7 +165,7 @@
     if (this.#isSettled) return;
     this.#isCancelled = true;
     if (this.#controller === null) {
-      this.#finish({kind: 'not-run', cause: 'not-sent', load: null});
+      this.#finish(NOT_SENT);
       return;
     }
     const controller = this.#controller;
@@ -163,6 +179,15 @@
     else controller.abort(new AttemptAborted(cause));
   }
 
+  /**
+   * Closes the connection of an attempt that has ended. Call it before the same
+   * request is sent to the same server again: a late copy of the refusal would
+   * otherwise arrive on this connection as the answer to the second attempt.
+   */
+  closeConnection(): void {
+    this.#socket?.destroy();
+  }
+
   onSocket(socket: Socket): void {
     this.#socket = socket;
   }
@@ -193,6 +218,7 @@
     }
     this.#status = status;
     this.#headers = headers;
+    if (headers[this.headerNames.leaving] === LEAVING) this.onServerLeaving();
     const {id} = this.request;
     if (id !== null && headers[this.headerNames.requestId] !== id) {
       this.#fail('wrong-answer');
@@ -239,11 +265,18 @@
       return;
     }
     if (this.#headers[this.headerNames.notRun] !== undefined) {
-      this.#finish({kind: 'not-run', cause: this.#notRunCause(), load});
+      const pauseMs = parsePauseMs(this.#headers['retry-after']);
+      const cause = this.#notRunCause();
+      this.#finish({kind: 'not-run', cause, load, pauseMs});
       return;
     }
     if (this.#status === MISDIRECTED_STATUS) {
-      this.#finish({kind: 'not-run', cause: 'misdirected', load});
+      this.#finish({
+        kind: 'not-run',
+        cause: 'misdirected',
+        load,
+        pauseMs: null,
+      });
       return;
     }
     const cause = this.#invalidAnswerCause();
@@ -264,7 +297,7 @@
   onResponseError(): void {
     if (this.#isSettled) return;
     if (this.#controller === null) {
-      this.#finish({kind: 'not-run', cause: 'not-sent', load: null});
+      this.#finish(NOT_SENT);
       return;
     }
     this.#fail('connection-lost');
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -11,6 +11,7 @@
   FingerprintFields,
   GatewayHeaders,
   GatewayRoute,
+  GatewayServer,
 } from '@wisteriarun/core';
 import {waitForPendingEvents} from '@wisteriarun/runtime';
 import type {Clock, StallWatch} from '@wisteriarun/runtime';
@@ -53,6 +54,8 @@
   readonly clock: Clock;
   readonly log: RequestLog;
   readonly crashes: CrashWatch;
+  /** Takes note that a server has said that it is leaving. */
+  reportLeaving(server: GatewayServer): void;
   /** Sends changed crash counts to the other VMs. */
   shareCrashes(records: readonly CrashRecord[]): void;
 }
@@ -100,6 +103,8 @@
   readonly triedServers: Set<string>;
   /** Attempts that may have reached a server. */
   sendCount: number;
+  /** The last attempt; null before the first. */
+  lastAttempt: Attempt | null;
 }
 
 /** Sends each request to a server, retries it if allowed, and answers it. */
@@ -214,6 +219,7 @@
       deadlineAtMs: exchange.startedAtMs + timeoutMs,
       triedServers: new Set(),
       sendCount: 0,
+      lastAttempt: null,
     };
   }
 
@@ -274,6 +280,7 @@
   ): Promise<AttemptOutcome> {
     const {headerNames, clock, loadMeter, crashes, shareCrashes} =
       this.dependencies;
+    const {reportLeaving} = this.dependencies;
     const {exchange, route, serviceName} = context;
     const {request} = exchange;
     const startedAtMs = clock.monotonicMs();
@@ -295,7 +302,9 @@
       },
       headerNames,
       exchange,
+      () => reportLeaving(server),
     );
+    context.lastAttempt = attempt;
     exchange.onCallerGone = () => {
       // A request that is not safe to repeat runs to its end once it is sent.
       if (isIdempotent(route.kind) || !attempt.isSent) {
@@ -318,6 +327,7 @@
     } else if (outcome.kind === 'not-run') {
       if (outcome.cause === 'not-sent') load.failed(nowMs);
       else if (outcome.load !== null) load.reported(outcome.load, nowMs);
+      if (outcome.pauseMs !== null) load.pause.start(outcome.pauseMs, nowMs);
     } else if (outcome.cause === 'timeout') {
       load.failed(nowMs);
     } else if (outcome.cause === 'connection-lost') {
@@ -391,6 +401,7 @@
       return false;
     }
     if (context.key === null) return true;
+    context.lastAttempt?.closeConnection();
     if (cause === 'misdirected') {
       const range = owners.find(context.serviceName, context.key);
       if (range?.server === server && !range.moving) {
--- a/packages/gateway/src/entry/server-selector.ts
+++ b/packages/gateway/src/entry/server-selector.ts
@@ -61,7 +61,12 @@
   | {
       readonly kind: 'refuse';
       readonly cause:
-        'no-server' | 'no-owner' | 'overload' | 'too-late' | 'thinned';
+        | 'no-server'
+        | 'no-owner'
+        | 'overload'
+        | 'too-late'
+        | 'thinned'
+        | 'paused';
       readonly retryAfterMs: number;
       /** Values that led to the refusal, for the log. */
       readonly decisionFields: LogFields;
@@ -121,7 +126,10 @@
         listed: owner !== null,
       });
     }
+    const isPaused =
+      this.pool.forServer(owner, nowMs).load.pause.leftMs(nowMs) > 0;
     if (
+      !isPaused &&
       input.triedServers.has(owner.id) &&
       this.#isStillFull(owner, input, nowMs)
     ) {
@@ -183,7 +191,17 @@
     const busyMs = (load.requests(nowMs) / load.slots) * load.workMs * 0.5;
     const refusalMs =
       this.#refusalCause(load, input, nowMs) === null ? 0 : input.remainingMs;
-    return waitMs + load.workMs + busyMs + remoteMs + suspectMs + refusalMs;
+    const pausedMs = load.pause.leftMs(nowMs);
+    const pauseCostMs = pausedMs > 0 ? pausedMs + input.remainingMs : 0;
+    return (
+      waitMs +
+      load.workMs +
+      busyMs +
+      remoteMs +
+      suspectMs +
+      refusalMs +
+      pauseCostMs
+    );
   }
 
   #selectOrRefuse(
@@ -193,6 +211,15 @@
   ): Selection {
     const pooled = this.pool.forServer(server, nowMs);
     const {load} = pooled;
+    const pausedMs = load.pause.leftMs(nowMs);
+    if (pausedMs > 0) {
+      const retryAfterMs = load.pause.retryAfterMs(nowMs, Math.random());
+      const decisionFields = {
+        server: server.id,
+        paused_ms: Math.round(pausedMs),
+      };
+      return refuse('paused', retryAfterMs, decisionFields);
+    }
     if (load.isSuspect(nowMs)) {
       const decisionFields = {server: server.id, suspect: true};
       return refuse('no-server', NO_SERVER_RETRY_AFTER_MS, decisionFields);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import type {
   GatewayCodec,
   GatewayHeaders,
+  GatewayServer,
   KeyedLog,
   KeyGranter,
   VmState,
@@ -189,6 +190,7 @@
       clock,
       stallWatch: this.#stallWatch,
       crashes: this.#crashWatch,
+      reportLeaving: server => this.#reportLeaving(server),
       shareCrashes: records => this.#coordinator.shareCrashes(records),
     });
     this.#callerIngress = new CallerIngress(
@@ -321,6 +323,13 @@
     };
   }
 
+  #reportLeaving({id, bornMs}: GatewayServer): void {
+    if (!this.#directory.markLeaving(id, bornMs)) return;
+    this.ports.logger.info('server-leaving', {server: id, born_ms: bornMs});
+    const server = this.#directory.registry.find(id);
+    if (server !== null) this.#coordinator.reportLeaving(server);
+  }
+
   #serverPollMs(): number {
     return this.#coordinator.isAssigner
       ? ASSIGNER_SERVER_POLL_MS
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -367,6 +367,8 @@
    */
   #reconcileOwners(nowMs: number): void {
     const {publisher, directory} = this.dependencies;
+    // A move starts with an append, so that none can start without the log.
+    const mayMove = nowMs - publisher.appendedAtMs <= LOG_LOST_MS;
     const leaving = new Map<string, Evacuation[]>();
     for (const range of publisher.table.all()) {
       if (range.moving || range.server === null) continue;
@@ -379,7 +381,7 @@
         }
       }
       const reason = this.#moveReason(range, server, nowMs);
-      if (reason === null) continue;
+      if (reason === null || !mayMove) continue;
       const evacuations = leaving.get(range.service) ?? [];
       evacuations.push({range, reason});
       leaving.set(range.service, evacuations);
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -4,6 +4,7 @@
   AssignerContact,
   CrashRecord,
   GatewayMessage,
+  GatewayServer,
   OwnershipRecord,
   OwnershipView,
 } from '@wisteriarun/core';
@@ -101,6 +102,10 @@
         );
         dependencies.peers.broadcast(message);
       }
+      if (message.kind === 'server' && message.server.isDraining) {
+        const {id, bornMs} = message.server;
+        dependencies.directory.markLeaving(id, bornMs);
+      }
       if (message.kind === 'hello') {
         const view = this.#publisher?.view;
         if (view !== undefined) reply({kind: 'view', view});
@@ -168,6 +173,15 @@
     else this.#link?.send(message);
   }
 
+  /**
+   * Tells the assigner that a server has said that it is leaving.
+   *
+   * @param server - The server, as draining; dropped while there is no link.
+   */
+  reportLeaving(server: GatewayServer): void {
+    this.#link?.send({kind: 'server', server});
+  }
+
   /**
    * Resigns if this VM is the assigner, and takes no part in later elections.
    *
@@ -354,6 +368,8 @@
       case 'view':
         this.#isResyncing = false;
         owners.replace(message.view);
+        // The assigner may be a new one, or may have missed earlier reports.
+        for (const server of directory.leaving) this.reportLeaving(server);
         break;
       case 'change':
         if (!owners.applyChange(message.view)) this.#resync(message.view);
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -15,6 +15,12 @@
 /** Limit on the ids that are remembered for malformed descriptions. */
 const MAX_MALFORMED_IDS = 1_000;
 
+/**
+ * Limit on the servers that are remembered as leaving. Those that are not listed
+ * any more count too, since their descriptions may come back after an outage.
+ */
+const MAX_LEAVING_IDS = 4_096;
+
 /** A server that was added, changed or removed. */
 export type ServerChange =
   | {readonly kind: 'server'; readonly server: GatewayServer}
@@ -30,6 +36,8 @@
   readonly #removalTimers = new Map<string, NodeJS.Timeout>();
   readonly #drainingSinceMs = new Map<string, number>();
   readonly #describedAtMs = new Map<string, number>();
+  /** Start of the incarnation that has said that it is leaving, by server id. */
+  readonly #leavingBornMs = new Map<string, number>();
   /** Ids whose last description was malformed. */
   readonly #malformedIds = new Set<string>();
   #isLoaded = false;
@@ -100,6 +108,36 @@
     return this.#describedAtMs.get(id) ?? -Infinity;
   }
 
+  /** Listed servers that have said in an answer that they are leaving. */
+  get leaving(): GatewayServer[] {
+    return [...this.#leavingBornMs].flatMap(([id, bornMs]) => {
+      const server = this.#registry.find(id);
+      return server !== null && server.bornMs === bornMs ? [server] : [];
+    });
+  }
+
+  /**
+   * Treats a server as draining from now on, whatever it writes into the log,
+   * because one of its answers said that it is leaving. A later incarnation of
+   * the server is not affected.
+   *
+   * @param id - Id of the server.
+   * @param bornMs - Start of the incarnation that answered.
+   * @returns True when this was not known and the incarnation is listed.
+   */
+  markLeaving(id: string, bornMs: number): boolean {
+    const server = this.#registry.find(id);
+    if (server === null || server.bornMs !== bornMs) return false;
+    if (this.#leavingBornMs.get(id) === bornMs) return false;
+    const [oldestId] = this.#leavingBornMs.keys();
+    if (this.#leavingBornMs.size >= MAX_LEAVING_IDS && oldestId !== undefined) {
+      this.#leavingBornMs.delete(oldestId);
+    }
+    this.#leavingBornMs.set(id, bornMs);
+    this.#updateServer(server);
+    return true;
+  }
+
   /**
    * Adopts a change that another VM has read.
    *
@@ -189,8 +227,10 @@
     this.logger.warn('server-malformed', {server: id, detail});
   }
 
-  #updateServer(server: GatewayServer): void {
-    const key = server.id;
+  #updateServer(described: GatewayServer): void {
+    const key = described.id;
+    const isLeaving = this.#leavingBornMs.get(key) === described.bornMs;
+    const server = isLeaving ? {...described, isDraining: true} : described;
     this.#cancelRemoval(key);
     const known = this.#registry.find(key);
     const isNew =
--- a/packages/gateway/test/requests.test.ts
+++ b/packages/gateway/test/requests.test.ts
@@ -132,6 +132,48 @@
   });
 });
 
+// Guards against a late copy of the refusal of a first try that is taken for the
+// answer to the second try of the same request, which runs.
+describe('a server that repeats the refusal of a first try', () => {
+  const harness = new GatewayHarness();
+  const REQUESTS = 12;
+  let server: PlatformBackendServer;
+
+  beforeAll(async () => {
+    await harness.start();
+    server = await harness.addServer('records', {id: 'i-1', workMs: 20});
+    await harness.addGateway('vm-1');
+  });
+
+  afterAll(() => harness.close());
+
+  const repetitions = [
+    'never',
+    'at-once',
+    'late',
+    'before-next',
+    'while-running',
+  ] as const;
+  it.each(
+    [503, 429, 421].flatMap(status =>
+      repetitions.map(repetition => ({status, repetition})),
+    ),
+  )(
+    'gets no request that ran reported as not run: $status $repetition',
+    async refusal => {
+      server.firstTryRefusal = refusal;
+      for (let at = 0; at < REQUESTS; at += 1) {
+        const id = `${refusal.status}-${refusal.repetition}-${at}`;
+        const answer = await harness.call('POST', '/file/x', {id, key: KEY});
+        const runs = server.executedRequests.filter(run => run.id === id);
+        expect(runs.length).toBeLessThanOrEqual(1);
+        if (runs.length === 1) expect([200, 502]).toContain(answer.status);
+      }
+      server.firstTryRefusal = null;
+    },
+  );
+});
+
 describe('a server that is full', () => {
   it('leads to refusals with a retry-after header, and nothing runs twice', async () => {
     const harness = new GatewayHarness();
--- a/packages/gateway/test/server-directory.test.ts
+++ b/packages/gateway/test/server-directory.test.ts
@@ -41,4 +41,23 @@
     directory.adoptAll([gatewayServer('i-3')], false);
     expect(ids()).toEqual(['i-1', 'i-2', 'i-3']);
   });
+
+  it('keeps a server as draining that has said so in an answer, until it restarts', () => {
+    const isDraining = () => directory.registry.find('i-1')?.isDraining;
+    const {bornMs} = gatewayServer('i-1');
+    expect(directory.markLeaving('i-1', bornMs - 1)).toBe(false);
+    expect(isDraining()).toBe(false);
+    expect(directory.markLeaving('i-1', bornMs)).toBe(true);
+    expect(directory.markLeaving('i-1', bornMs)).toBe(false);
+    const later = gatewayServer('i-1', {sequence: 9});
+    directory.adoptAll([later], true);
+    expect(isDraining()).toBe(true);
+    // Its description expires during an outage of the store, and comes back.
+    directory.adoptAll([], true);
+    directory.adoptAll([later], true);
+    expect(isDraining()).toBe(true);
+    directory.adoptAll([gatewayServer('i-1', {bornMs: bornMs + 1})], true);
+    expect(isDraining()).toBe(false);
+    expect(directory.leaving).toEqual([]);
+  });
 });
--- a/testing/standins/src/platform/backend-server.ts
+++ b/testing/standins/src/platform/backend-server.ts
@@ -3,6 +3,7 @@
  * for keys that the gateway has granted to it.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {HttpEndpoint, readJson, sendJson} from '../utils/http-endpoint.js';
 import type {Address, ListenOptions} from '../utils/http-endpoint.js';
 
@@ -37,6 +38,18 @@
   /** A signed answer with status 500. */
   | 'signed-500';
 
+/**
+ * When a server that refuses the first try of each request writes that refusal
+ * once more: in the same write (`at-once`), shortly after it (`late`), or when the
+ * next request on the connection arrives (`before-next`) or runs (`while-running`).
+ * `never` refuses without a repetition.
+ */
+export type RefusalRepetition =
+  'never' | 'at-once' | 'late' | 'before-next' | 'while-running';
+
+/** Time after a refusal or the start of a request at which a copy is written. */
+const REPETITION_DELAY_MS = 4;
+
 /** Options of a `PlatformBackendServer`. */
 export interface PlatformBackendServerOptions {
   /** Instance id, compared with the `expect-instance` header. */
@@ -87,6 +100,24 @@
   workMs: number;
   /** Whether grant calls take effect, but get a reset and no answer. */
   losesGrantAnswers = false;
+  /**
+   * Refuses the first try of each request with this status, and repeats the
+   * refusal; null to refuse none.
+   */
+  firstTryRefusal: {status: number; repetition: RefusalRepetition} | null =
+    null;
+  readonly #refusedIds = new Set<string>();
+  /** Refusals that are still to be repeated on a connection. */
+  readonly #pendingCopies = new Map<Socket, string>();
+  /** Whether all answers say that the server is leaving. */
+  isLeaving = false;
+  /**
+   * Pause in seconds that the server asks for in refusals of all requests, as the
+   * text of the header; null to refuse none.
+   */
+  requestedPause: string | null = null;
+  /** Arrival times of all requests, on the clock of `performance.now()`. */
+  readonly arrivalTimesMs: number[] = [];
   /** All executed requests in the order of their starts. */
   readonly executedRequests: ExecutedRequest[] = [];
   /** Ids of requests whose connection was closed before the whole answer. */
@@ -210,6 +241,8 @@
     const {id, slots, maxQueueLength, checksKeys, resetsWhenFull} =
       this.#options;
     const requestId = String(request.headers['request-id'] ?? '');
+    this.arrivalTimesMs.push(performance.now());
+    if (this.isLeaving) response.setHeader('server-leaving', '1');
     response.once('close', () => {
       if (!response.writableFinished) this.abandonedRequestIds.push(requestId);
     });
@@ -225,6 +258,11 @@
           'server-load': loadHeader(),
         })
         .end();
+    if (this.requestedPause !== null) {
+      response.setHeader('retry-after', this.requestedPause);
+      return void refuse(503);
+    }
+    if (this.#refuseFirstTry(request, response, requestId)) return;
     const expectedId = request.headers['expect-instance'];
     if (expectedId !== undefined && expectedId !== id) return void refuse(421);
     const key = checksKeys ? Number(request.headers['shard-key']) : null;
@@ -255,6 +293,42 @@
     this.#sendAnswer(request, response, requestId, loadHeader());
   }
 
+  /** Returns true when the request was refused as a first try. */
+  #refuseFirstTry(
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestId: string,
+  ): boolean {
+    const {socket} = request;
+    if (this.firstTryRefusal === null) return false;
+    const {status, repetition} = this.firstTryRefusal;
+    const copy = this.#pendingCopies.get(socket);
+    if (copy !== undefined) {
+      this.#pendingCopies.delete(socket);
+      if (repetition === 'before-next') socket.write(copy);
+      else setTimeout(() => socket.write(copy), REPETITION_DELAY_MS);
+    }
+    if (this.#refusedIds.has(requestId)) return false;
+    this.#refusedIds.add(requestId);
+    const refusal =
+      `HTTP/1.1 ${status} Refused\r\nrequest-id: ${requestId}\r\n` +
+      'not-executed: 1\r\ncontent-length: 0\r\n\r\n';
+    response
+      .writeHead(status, {
+        'request-id': requestId,
+        'not-executed': '1',
+        'content-length': 0,
+      })
+      .end();
+    if (repetition === 'at-once') socket.write(refusal);
+    if (repetition === 'late') {
+      setTimeout(() => socket.write(refusal), REPETITION_DELAY_MS);
+    } else if (repetition !== 'at-once' && repetition !== 'never') {
+      this.#pendingCopies.set(socket, refusal);
+    }
+    return true;
+  }
+
   #sendAnswer(
     request: IncomingMessage,
     response: ServerResponse,
