Keep the assigner of hundreds of VMs from falling behind

- Strong VMs stand for election first (electionDelayMs, settings cpu_share, cores and link_mbps).
- Changes of the table within 20 ms are published together.
- A VM that has read the log of servers gets only later changes and the list of ids.
- A link that is not live is opened anew after 0.5 s, and then ever more rarely.
- Without a link, VMs wait for the next record instead of reading the newest one four times a second.
- Load reports of all VMs together: at most 200 a second, each VM's at most 1 s apart.
- The ledger of holds is kept by server.
- One log line for the first list of servers instead of one a server.

--- a/packages/core/src/core/range/hold-ledger.ts
+++ b/packages/core/src/core/range/hold-ledger.ts
@@ -38,7 +38,8 @@
  * the server may still accept it.
  */
 export class HoldLedger {
-  #holds: Hold[] = [];
+  /** Holds of each server, by service and server. */
+  readonly #holdsByServer = new Map<string, Hold[]>();
 
   /**
    * Records that a server may hold keys from now on. Replaces earlier holds of
@@ -58,12 +59,10 @@
     const {service, server, bornMs, fromKey, toKey, fence} = grant;
     if (!isUnanswered) this.#dropBelowFence(grant);
     const untilMs = nowMs + holdMs * CLOCK_DRIFT_FACTOR + TRANSIT_MS;
-    this.#holds = this.#holds.filter(
+    const kept = this.#holdsOf(grant).filter(
       hold =>
         hold.untilMs > nowMs &&
         !(
-          hold.server === server &&
-          hold.service === service &&
           hold.bornMs === bornMs &&
           hold.fromKey >= fromKey &&
           hold.toKey <= toKey &&
@@ -71,7 +70,7 @@
           hold.untilMs <= untilMs
         ),
     );
-    this.#holds.push({
+    kept.push({
       service,
       server,
       bornMs,
@@ -81,6 +80,7 @@
       untilMs,
       isUnanswered,
     });
+    this.#setHolds(grant, kept);
   }
 
   /**
@@ -97,9 +97,10 @@
       untilMs: nowMs + holdMs * CLOCK_DRIFT_FACTOR + TRANSIT_MS,
       isUnanswered: true,
     };
-    this.#holds.push(sent);
+    this.#setHolds(grant, [...this.#holdsOf(grant), sent]);
     const forget = () => {
-      this.#holds = this.#holds.filter(hold => hold !== sent);
+      const kept = this.#holdsOf(grant).filter(hold => hold !== sent);
+      this.#setHolds(grant, kept);
     };
     return {
       granted: endMs => {
@@ -123,10 +124,12 @@
    * @param keys - Keys that it released.
    */
   release(service: string, server: string, keys: KeyRange): void {
-    this.#holds = this.#holds.flatMap(hold =>
-      !hold.isUnanswered && hold.service === service && hold.server === server
-        ? subtractKeys(hold, keys)
-        : [hold],
+    const owner = {service, server};
+    this.#setHolds(
+      owner,
+      this.#holdsOf(owner).flatMap(hold =>
+        hold.isUnanswered ? [hold] : subtractKeys(hold, keys),
+      ),
     );
   }
 
@@ -138,9 +141,12 @@
    * @param bornMs - Start of its current incarnation.
    */
   forgetEarlierIncarnations(server: string, bornMs: number): void {
-    this.#holds = this.#holds.filter(
-      hold => hold.server !== server || hold.bornMs >= bornMs,
-    );
+    for (const [name, holds] of this.#holdsByServer) {
+      if (holds[0]?.server !== server) continue;
+      const kept = holds.filter(hold => hold.bornMs >= bornMs);
+      if (kept.length > 0) this.#holdsByServer.set(name, kept);
+      else this.#holdsByServer.delete(name);
+    }
   }
 
   /**
@@ -153,11 +159,9 @@
    * @returns True when there is such a grant for any of the keys.
    */
   isUnanswered(service: string, server: string, keys: KeyRange): boolean {
-    return this.#holds.some(
+    return this.#holdsOf({service, server}).some(
       hold =>
         hold.isUnanswered &&
-        hold.service === service &&
-        hold.server === server &&
         hold.toKey >= keys.fromKey &&
         hold.fromKey <= keys.toKey,
     );
@@ -173,10 +177,14 @@
    */
   freeAtMs(service: string, keys: KeyRange, server: string | null): number {
     let untilMs = 0;
-    for (const hold of this.#holds) {
-      if (hold.service !== service || hold.server === server) continue;
-      if (hold.toKey < keys.fromKey || hold.fromKey > keys.toKey) continue;
-      untilMs = Math.max(untilMs, hold.untilMs);
+    for (const holds of this.#holdsByServer.values()) {
+      const [first] = holds;
+      if (first === undefined || first.service !== service) continue;
+      if (first.server === server) continue;
+      for (const hold of holds) {
+        if (hold.toKey < keys.fromKey || hold.fromKey > keys.toKey) continue;
+        untilMs = Math.max(untilMs, hold.untilMs);
+      }
     }
     return untilMs;
   }
@@ -186,13 +194,28 @@
    * them.
    */
   #dropBelowFence(grant: HeldKeys): void {
-    this.#holds = this.#holds.flatMap(hold =>
-      hold.isUnanswered &&
-      hold.service === grant.service &&
-      hold.server === grant.server &&
-      hold.fence < grant.fence
-        ? subtractKeys(hold, grant)
-        : [hold],
+    this.#setHolds(
+      grant,
+      this.#holdsOf(grant).flatMap(hold =>
+        hold.isUnanswered && hold.fence < grant.fence
+          ? subtractKeys(hold, grant)
+          : [hold],
+      ),
     );
   }
+
+  #holdsOf(owner: HoldOwner): Hold[] {
+    return this.#holdsByServer.get(ownerName(owner)) ?? [];
+  }
+
+  #setHolds(owner: HoldOwner, holds: Hold[]): void {
+    if (holds.length > 0) this.#holdsByServer.set(ownerName(owner), holds);
+    else this.#holdsByServer.delete(ownerName(owner));
+  }
+}
+
+type HoldOwner = Pick<HeldKeys, 'service' | 'server'>;
+
+function ownerName({service, server}: HoldOwner): string {
+  return `${service} ${server}`;
 }
--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -208,7 +208,16 @@
 /** Messages between a VM and the assigner. */
 export const gatewayMessageSchema = z.discriminatedUnion('kind', [
   /** Asks the assigner for the whole table, all servers and crash records. */
-  z.object({kind: z.literal('hello'), vm: z.string(), zone: z.string()}),
+  z.object({
+    kind: z.literal('hello'),
+    vm: z.string(),
+    zone: z.string(),
+    /**
+     * Offset up to which the VM has read the log of servers. Without it, the
+     * assigner sends all servers.
+     */
+    serversOffset: z.int().optional(),
+  }),
   /** Load that a VM measured since its last report, for the assigner. */
   z.object({
     kind: z.literal('load'),
@@ -231,10 +240,13 @@
     /** Offset up to which it has read the log of bundles. */
     bundlesOffset: z.int(),
   }),
-  /** All servers that the assigner knows. */
+  /** Servers that the assigner knows. */
   z.object({
     kind: z.literal('servers'),
+    /** All servers, or those that changed since the offset of the hello. */
     servers: z.array(gatewayServerSchema),
+    /** Ids of all servers; those of `servers` if missing. */
+    listedIds: z.array(z.string()).optional(),
     /** Time since it last read the log of servers. */
     ageMs: z.number(),
     /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import type {GatewaySettings} from './settings.js';
 import {BundleHolder} from './store/bundle-holder.js';
 import {LogFollower} from './store/log-follower.js';
+import {MeteredLog} from './store/metered-log.js';
 import {ServerDirectory} from './store/server-directory.js';
 import {delay} from './utils/delay.js';
 
@@ -62,8 +63,13 @@
 const DRAINING_OWNER_RATIO = 0.3;
 /** Interval between reads of the `servers` log at the assigner. */
 const ASSIGNER_SERVER_POLL_MS = 200;
-/** Interval between load reports to the assigner. */
+/** Shortest interval between load reports to the assigner. */
 const REPORT_INTERVAL_MS = 250;
+/** Longest interval between load reports to the assigner. */
+const MAX_REPORT_INTERVAL_MS = 1_000;
+/** Load reports that all VMs together send to the assigner in a second. */
+const MAX_REPORTS_PER_SECOND = 200;
+const MS_PER_S = 1_000;
 /** Share of the retry budget of all VMs that the gateways use. */
 const RETRY_BUDGET_SHARE = 0.7;
 /**
@@ -95,6 +101,7 @@
   readonly #owners = new OwnerView();
   readonly #loadMeter = new LoadMeter();
   readonly #admission = new Admission();
+  readonly #log: MeteredLog;
   readonly #bundleFollower: LogFollower;
   readonly #serverFollower: LogFollower;
   readonly #bundles: BundleHolder;
@@ -107,6 +114,7 @@
   readonly #stallWatch: StallWatch;
   readonly #crashWatch: CrashWatch;
   #reportTimer: NodeJS.Timeout | null = null;
+  #nextReportAtMs = 0;
   #isStopping = false;
 
   /**
@@ -117,7 +125,9 @@
     private readonly settings: GatewaySettings,
     private readonly ports: GatewayPorts,
   ) {
-    const {log, granter, codec, headers, clock, logger} = ports;
+    const {granter, codec, headers, clock, logger} = ports;
+    const log = new MeteredLog(ports.log, this.#metrics, logger);
+    this.#log = log;
     this.#stallWatch = new StallWatch(clock, ports.logger);
     this.#crashWatch = new CrashWatch(logger);
     this.#bundleFollower = new LogFollower(
@@ -152,7 +162,7 @@
     );
     this.#peerServer = new PeerServer(logger);
     this.#coordinator = new Coordinator({
-      log: new OwnershipLog(log, logger),
+      log: new OwnershipLog(log, clock, logger),
       owners: this.#owners,
       crashes: this.#crashWatch,
       admission: this.#admission,
@@ -170,6 +180,8 @@
         bundlesOffset: this.#bundleFollower.offset ?? 0,
       }),
       zone: settings.vm.zone,
+      strength: settings.strength,
+      serversOffset: () => this.#serverFollower.offset ?? undefined,
       peerAddress: `${settings.vm.host}:${settings.peerPort}`,
     });
     this.#handler = new RequestHandler({
@@ -295,7 +307,7 @@
     this.#statusIngress.close();
     this.#pool.close();
     this.ports.granter.close();
-    this.ports.log.close();
+    this.#log.close();
   }
 
   #state(): VmState {
@@ -363,12 +375,27 @@
   #reportLoad(): void {
     const {retryRatio, retrySlack} = this.settings;
     const vmCount = Math.max(1, this.#owners.vmCount);
+    const nowMs = this.ports.clock.monotonicMs();
     this.#handler.budgets.setLimits(
       retryRatio * RETRY_BUDGET_SHARE,
       (retrySlack * RETRY_BUDGET_SHARE) / vmCount,
     );
-    this.#pool.closeUnused(this.ports.clock.monotonicMs());
+    this.#pool.closeUnused(nowMs);
+    if (nowMs < this.#nextReportAtMs) return;
+    this.#nextReportAtMs = nowMs + reportIntervalMs(vmCount);
     const report = this.#loadMeter.takeReport();
     if (report !== null) this.#coordinator.report(report);
   }
 }
+
+/**
+ * Interval between the load reports of one VM. The more VMs there are, the fewer
+ * each sends, up to a limit: the assigner must see the load of hot keys in time.
+ */
+function reportIntervalMs(vmCount: number): number {
+  const intervalMs = (vmCount * MS_PER_S) / MAX_REPORTS_PER_SECOND;
+  return Math.min(
+    MAX_REPORT_INTERVAL_MS,
+    Math.max(REPORT_INTERVAL_MS, intervalMs),
+  );
+}
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -1,5 +1,6 @@
 /** Takes part in the election of the assigner; assigns or follows it. */
 import {randomUUID} from 'node:crypto';
+import {electionDelayMs} from '@wisteriarun/core';
 import type {
   AssignerContact,
   CrashRecord,
@@ -7,6 +8,7 @@
   GatewayServer,
   OwnershipRecord,
   OwnershipView,
+  VmStrength,
 } from '@wisteriarun/core';
 import type {CrashWatch} from '../entry/crash-watch.js';
 import {delay} from '../utils/delay.js';
@@ -21,24 +23,31 @@
 const STEP_MS = 100;
 /** Silence after which the link to the assigner counts as broken. */
 const LINK_SILENCE_MS = 900;
-/** Interval at which the log is read while there is no link. */
+/** Pause after a failed read of the log while there is no link. */
 const WATCH_INTERVAL_MS = 250;
+/** Longest wait for a record of the log while there is no link. */
+const MAX_WATCH_WAIT_MS = 800;
+/** Shortest wait for a record, so that reads do not follow each other at once. */
+const MIN_WATCH_WAIT_MS = 50;
 /** Time without a link and without a new record until a new election. */
 const REPLACE_AFTER_MS = 1_200;
 /** The same while the assigner answers, but reports that it lost the log. */
 const REPLACE_WITHOUT_LOG_MS = 400;
-/**
- * Longest random delay of an election, so that VMs do not append their records
- * at the same time.
- */
-const ELECTION_SPREAD_MS = 250;
 /**
  * Age up to which the assigner's list of servers is complete: servers that it
  * lacks are gone.
  */
 const FRESH_SERVERS_MS = 1_000;
-/** Shortest time between two attempts to connect to the assigner. */
+/**
+ * Time after which a link that is not live is opened anew. Each further attempt at
+ * the same process waits twice as long: an assigner that is busy answering many VMs
+ * would otherwise get ever more links.
+ */
 const RELINK_MS = 500;
+/** Longest time between two attempts to connect to the same process. */
+const MAX_RELINK_MS = 4_000;
+/** Random share by which the time between two attempts is longer. */
+const RELINK_JITTER_RATIO = 0.5;
 
 /** Stands for an assigner whose reads are not known. */
 const NO_READS: LogReadProgress = {
@@ -56,6 +65,10 @@
   readonly owners: OwnerView;
   readonly crashes: CrashWatch;
   readonly zone: string;
+  /** Offset up to which this VM has read the log of servers; undefined before. */
+  serversOffset(): number | undefined;
+  /** Resources of this VM. */
+  readonly strength: VmStrength;
   readonly peerAddress: string;
 }
 
@@ -67,6 +80,7 @@
   #link: PeerLink | null = null;
   #linkedIncarnation: string | null = null;
   #linkTriedAtMs = -Infinity;
+  #relinkMs = RELINK_MS;
   #assignerSeenAtMs: number;
   #adoptedOffset = -1;
   #isAssignerLogLost = false;
@@ -80,7 +94,7 @@
   /** What the assigner had read at `#assignerReadsAtMs`. */
   #assignerReads: LogReadProgress = NO_READS;
   #assignerReadsAtMs = -Infinity;
-  readonly #electionDelayMs = Math.random() * ELECTION_SPREAD_MS;
+  readonly #electionDelayMs: number;
 
   /**
    * @param dependencies - Dependencies of the coordinator.
@@ -92,6 +106,10 @@
       incarnation: randomUUID(),
     };
     this.#assignerSeenAtMs = dependencies.clock.monotonicMs();
+    this.#electionDelayMs = electionDelayMs(
+      dependencies.strength,
+      Math.random(),
+    );
     void dependencies.peers.messages.stream.observe(({message, reply}) => {
       if (this.#assigner === null) return;
       if (message.kind === 'load') this.#assigner.addLoad(message);
@@ -109,7 +127,7 @@
       if (message.kind === 'hello') {
         const view = this.#publisher?.view;
         if (view !== undefined) reply({kind: 'view', view});
-        this.#sendState(reply);
+        this.#sendState(reply, message.serversOffset);
       }
     });
     void dependencies.directory.changes.stream.observe(change =>
@@ -204,6 +222,7 @@
   close(): void {
     this.#isClosed = true;
     this.#assigner?.close();
+    this.#publisher?.close();
     this.#link?.close();
   }
 
@@ -254,8 +273,9 @@
    */
   async #watchLog(): Promise<number> {
     const {clock, log} = this.dependencies;
-    const newest = await log.refresh();
+    const newest = await log.follow(this.#watchWaitMs());
     const nowMs = clock.monotonicMs();
+    if (this.#isLinkLive() && !this.#isAssignerLogLost) return STEP_MS;
     if (newest.isErr) {
       // While the log cannot be read, its silence does not show that the
       // assigner is down.
@@ -274,15 +294,26 @@
       await this.#tryElection(stored);
       return STEP_MS;
     }
-    const replaceMs = this.#isLinkLive()
-      ? REPLACE_WITHOUT_LOG_MS
-      : REPLACE_AFTER_MS;
-    if (nowMs - this.#assignerSeenAtMs > replaceMs + this.#electionDelayMs) {
+    if (nowMs >= this.#replaceAtMs()) {
       await this.#tryElection(stored);
       return STEP_MS;
     }
     this.#tryLink(stored, nowMs);
-    return this.#link === null ? WATCH_INTERVAL_MS : STEP_MS;
+    return 0;
+  }
+
+  /** Time from which the assigner counts as lost without a sign of life. */
+  #replaceAtMs(): number {
+    const replaceMs = this.#isLinkLive()
+      ? REPLACE_WITHOUT_LOG_MS
+      : REPLACE_AFTER_MS;
+    return this.#assignerSeenAtMs + replaceMs + this.#electionDelayMs;
+  }
+
+  /** How long to wait for the next record: until the assigner counts as lost. */
+  #watchWaitMs(): number {
+    const leftMs = this.#replaceAtMs() - this.dependencies.clock.monotonicMs();
+    return Math.min(MAX_WATCH_WAIT_MS, Math.max(MIN_WATCH_WAIT_MS, leftMs));
   }
 
   /**
@@ -321,19 +352,24 @@
   #tryLink(stored: StoredOwnershipRecord | null, nowMs: number): void {
     if (stored === null || this.#isTermOver(stored.record)) return;
     const {incarnation, peerAddress} = stored.record.assigner;
-    const isSame =
-      this.#linkedIncarnation === incarnation && this.#isLinkLive();
-    if (isSame || nowMs - this.#linkTriedAtMs < RELINK_MS) return;
+    const isSame = this.#linkedIncarnation === incarnation;
+    if (isSame && this.#isLinkLive()) return;
+    if (!isSame) this.#relinkMs = RELINK_MS;
+    if (nowMs - this.#linkTriedAtMs < this.#relinkMs) return;
+    if (isSame) {
+      const jitter = 1 + Math.random() * RELINK_JITTER_RATIO;
+      this.#relinkMs = Math.min(MAX_RELINK_MS, this.#relinkMs * 2 * jitter);
+    }
     this.#linkTriedAtMs = nowMs;
     this.#linkedIncarnation = incarnation;
     this.#isResyncing = false;
     this.#isAssignerLogLost = false;
     this.#assignerReads = NO_READS;
     this.#link?.close();
-    const {vm, zone, clock, logger} = this.dependencies;
+    const {clock, logger} = this.dependencies;
     this.#link = new PeerLink(
       peerAddress,
-      {kind: 'hello', vm, zone},
+      () => this.#hello(),
       message => this.#handleMessage(message),
       clock,
       logger,
@@ -344,6 +380,7 @@
     const {owners, directory, crashes, admission, clock} = this.dependencies;
     switch (message.kind) {
       case 'heartbeat':
+        this.#relinkMs = RELINK_MS;
         this.#isAssignerLogLost = message.isLogLost;
         this.#assignerReads = message;
         this.#assignerReadsAtMs = clock.monotonicMs();
@@ -353,6 +390,7 @@
         directory.adoptAll(
           message.servers,
           message.isSettled && message.ageMs < FRESH_SERVERS_MS,
+          message.listedIds,
         );
         break;
       case 'server':
@@ -395,12 +433,25 @@
     logger.info('owners-unlisted', {count: unlisted.size, term: owners.term});
   }
 
-  /** Sends all servers and crashes, the base of later change messages. */
-  #sendState(send: (message: GatewayMessage) => void): void {
+  /** Message that asks the assigner for its state. */
+  #hello(): GatewayMessage {
+    const {vm, zone, serversOffset} = this.dependencies;
+    return {kind: 'hello', vm, zone, serversOffset: serversOffset()};
+  }
+
+  /**
+   * Sends the servers and crashes, the base of later change messages. A VM that has
+   * read the log of servers up to `knownOffset` gets only those that changed since.
+   */
+  #sendState(
+    send: (message: GatewayMessage) => void,
+    knownOffset?: number,
+  ): void {
     const {directory, readProgress, crashes, clock} = this.dependencies;
     send({
       kind: 'servers',
-      servers: [...directory.registry.servers.values()],
+      servers: directory.changedSince(knownOffset ?? 0),
+      listedIds: [...directory.registry.servers.keys()],
       ageMs: readProgress().serversAgeMs,
       isSettled: directory.isSettled,
     });
@@ -415,9 +466,8 @@
   #resync({term, revision}: OwnershipView): void {
     if (this.#isResyncing) return;
     this.#isResyncing = true;
-    const {vm, zone, logger} = this.dependencies;
-    logger.info('view-gap', {term, revision});
-    this.#link?.send({kind: 'hello', vm, zone});
+    this.dependencies.logger.info('view-gap', {term, revision});
+    this.#link?.send(this.#hello());
   }
 
   /**
@@ -464,6 +514,7 @@
   }
 
   #stopAssigning(): void {
+    this.#publisher?.close();
     this.#assigner = null;
     this.#publisher = null;
     this.#assignerSeenAtMs = this.dependencies.clock.monotonicMs();
--- a/packages/gateway/src/ownership/ownership-log.ts
+++ b/packages/gateway/src/ownership/ownership-log.ts
@@ -2,10 +2,11 @@
 import {ERRORS, ownershipRecordSchema} from '@wisteriarun/core';
 import type {
   KeyedLog,
+  KeyedRecord,
   OwnershipRecord,
   WisteriarunError,
 } from '@wisteriarun/core';
-import type {Logger} from '@wisteriarun/runtime';
+import type {Clock, Logger} from '@wisteriarun/runtime';
 import {Encoder} from 'cbor-x';
 import {Result} from 'true-myth';
 
@@ -17,6 +18,9 @@
  */
 const MAX_TRIES = 3;
 
+/** Time since the last read after which `follow` reads only the newest record. */
+const MAX_FOLLOW_GAP_MS = 1_000;
+
 const codec = new Encoder({useRecords: false});
 
 /** A record with its offset in the log. */
@@ -38,14 +42,18 @@
  */
 export class OwnershipLog {
   #endOffset: number | null = null;
+  /** Time of the last successful read. */
+  #readAtMs = -Infinity;
   #newest: StoredOwnershipRecord | null = null;
 
   /**
    * @param log - The platform's log.
+   * @param clock - Clock of the process.
    * @param logger - Logs why a record is malformed.
    */
   constructor(
     private readonly log: KeyedLog,
+    private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
 
@@ -66,11 +74,34 @@
     const image = await this.log.newest(LOG_NAME);
     if (image.isErr) return Result.err(image.error);
     this.#endOffset = image.value.endOffset;
-    for (const {key, value, offset} of image.value.records) {
-      if (key !== RECORD_KEY || value === null) continue;
-      const record = this.#decode(value);
-      if (record !== null) this.#newest = {record, offset};
+    this.#adoptNewest(image.value.records);
+    return Result.ok(this.#newest);
+  }
+
+  /**
+   * Waits for the next record, or reads the newest one if the last read was some
+   * time ago: one record takes fewer bytes than all that were appended since.
+   *
+   * @param waitMs - Longest wait for a record.
+   * @returns As for `refresh`.
+   */
+  async follow(
+    waitMs: number,
+  ): Promise<Result<StoredOwnershipRecord | null, WisteriarunError>> {
+    const sinceMs = this.clock.monotonicMs() - this.#readAtMs;
+    if (this.#endOffset === null || sinceMs > MAX_FOLLOW_GAP_MS) {
+      return await this.refresh();
+    }
+    const batch = await this.log.read(LOG_NAME, this.#endOffset, waitMs);
+    if (batch.isErr) {
+      // The next call reads the newest record, also if the log has expired.
+      this.#readAtMs = -Infinity;
+      return batch.error.kind === 'log-expired'
+        ? await this.refresh()
+        : Result.err(batch.error);
     }
+    this.#endOffset = batch.value.nextOffset;
+    this.#adoptNewest(batch.value.records);
     return Result.ok(this.#newest);
   }
 
@@ -136,6 +167,15 @@
     return Result.err(failure);
   }
 
+  #adoptNewest(records: readonly KeyedRecord[]): void {
+    this.#readAtMs = this.clock.monotonicMs();
+    for (const {key, value, offset} of records) {
+      if (key !== RECORD_KEY || value === null) continue;
+      const record = this.#decode(value);
+      if (record !== null) this.#newest = {record, offset};
+    }
+  }
+
   #appended(
     record: OwnershipRecord,
     offset: number,
--- a/packages/gateway/src/ownership/peer-link.ts
+++ b/packages/gateway/src/ownership/peer-link.ts
@@ -18,14 +18,14 @@
    * Opens the connection.
    *
    * @param address - Peer address of the assigner, host:port.
-   * @param hello - Message that is sent first.
+   * @param hello - Builds the message that is sent first, once connected.
    * @param onMessage - Receives the assigner's messages.
    * @param clock - Clock of the process.
    * @param logger - Receives connection errors and malformed messages.
    */
   constructor(
     address: string,
-    hello: GatewayMessage,
+    hello: () => GatewayMessage,
     onMessage: (message: GatewayMessage) => void,
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -33,7 +33,7 @@
     const [host = '', port = ''] = address.split(':');
     this.#socket = connect({host, port: Number(port), noDelay: true});
     const decoder = new MessageDecoder();
-    this.#socket.on('connect', () => this.send(hello));
+    this.#socket.on('connect', () => this.send(hello()));
     this.#socket.on('data', chunk => {
       this.#lastReceivedAtMs = clock.monotonicMs();
       for (const message of decoder.decode(chunk)) {
--- a/packages/gateway/src/ownership/table-publisher.ts
+++ b/packages/gateway/src/ownership/table-publisher.ts
@@ -19,6 +19,12 @@
   readonly logger: Logger;
 }
 
+/**
+ * Shortest time between two changes of the table that are sent to the other VMs:
+ * each goes to all of them.
+ */
+const PUBLISH_INTERVAL_MS = 20;
+
 /**
  * How an append ended: `refused` when nothing was appended, `unknown` when the
  * record may still be appended.
@@ -31,6 +37,10 @@
   readonly table: RangeTable;
   #revision: number;
   #recordCount = 0;
+  /** Ranges that are not published yet, in the order of their changes. */
+  #unpublished: RangeOwner[] = [];
+  #publishedAtMs = -Infinity;
+  #publishTimer: NodeJS.Timeout | null = null;
   #appending: Promise<boolean> | null = null;
   #queued: Promise<boolean> | null = null;
   #appendedAtMs: number;
@@ -81,15 +91,28 @@
 
   /**
    * Publishes ranges without a change of the table, for example ranges that no
-   * server can serve for now.
+   * server can serve for now. Changes that follow each other closely are published
+   * together.
    *
    * @param ranges - Ranges that the other VMs should use.
    */
   publish(ranges: readonly RangeOwner[]): void {
-    this.#revision += 1;
-    const view = this.#viewOf(ranges);
-    this.dependencies.owners.applyChange(view);
-    this.dependencies.peers.broadcast({kind: 'change', view});
+    this.#unpublished.push(...ranges);
+    if (this.#publishTimer !== null) return;
+    const sinceMs = this.dependencies.clock.monotonicMs() - this.#publishedAtMs;
+    if (sinceMs >= PUBLISH_INTERVAL_MS) {
+      this.#publishNow();
+      return;
+    }
+    this.#publishTimer = setTimeout(
+      () => this.#publishNow(),
+      PUBLISH_INTERVAL_MS - sinceMs,
+    );
+  }
+
+  /** Stops publishing. */
+  close(): void {
+    if (this.#publishTimer !== null) clearTimeout(this.#publishTimer);
   }
 
   /**
@@ -147,6 +170,16 @@
     return 'appended';
   }
 
+  #publishNow(): void {
+    this.#publishTimer = null;
+    this.#publishedAtMs = this.dependencies.clock.monotonicMs();
+    this.#revision += 1;
+    const view = this.#viewOf(this.#unpublished);
+    this.#unpublished = [];
+    this.dependencies.owners.applyChange(view);
+    this.dependencies.peers.broadcast({kind: 'change', view});
+  }
+
   #publishWholeTable(): void {
     const {owners, peers} = this.dependencies;
     const view = this.#viewOf(this.table.all());
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,7 +1,7 @@
 /** Settings file of the gateway: schema, parser and error reports. */
 import {readFileSync} from 'node:fs';
 import {ERRORS} from '@wisteriarun/core';
-import type {WisteriarunError} from '@wisteriarun/core';
+import type {VmStrength, WisteriarunError} from '@wisteriarun/core';
 import {nearestName} from '@wisteriarun/runtime';
 import {parse} from 'ini';
 import {Result} from 'true-myth';
@@ -55,7 +55,15 @@
 
 /** Sections and keys of the settings file. */
 const settingsSchema = z.object({
-  vm: z.object({id: name, zone: name, host}),
+  vm: z.object({
+    id: name,
+    zone: name,
+    host,
+    // Share of a core that the VM has, and the speed of that core.
+    cpu_share: orDefault(number, 1),
+    cores: orDefault(number, 1),
+    link_mbps: orDefault(number, Infinity),
+  }),
   listen: z.object({
     callers: address,
     readiness: address,
@@ -93,7 +101,13 @@
  * section `bounds`.
  */
 export interface GatewaySettings {
-  readonly vm: Sections['vm'];
+  readonly vm: {
+    readonly id: string;
+    readonly zone: string;
+    readonly host: string;
+  };
+  /** Resources of the VM, which decide how soon it stands for election. */
+  readonly strength: VmStrength;
   readonly callersAddress: string;
   readonly readinessAddress: string;
   readonly peerPort: number;
@@ -151,7 +165,11 @@
   if (!parsed.success || problems.length > 0) return Result.err(problems);
   const {vm, listen, store, bounds, logs} = parsed.data;
   return Result.ok({
-    vm,
+    vm: {id: vm.id, zone: vm.zone, host: vm.host},
+    strength: {
+      cpuCores: vm.cpu_share * vm.cores,
+      linkMbps: vm.link_mbps,
+    },
     callersAddress: listen.callers,
     readinessAddress: listen.readiness,
     peerPort: listen.peer_port,
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -36,11 +36,14 @@
   readonly #removalTimers = new Map<string, NodeJS.Timeout>();
   readonly #drainingSinceMs = new Map<string, number>();
   readonly #describedAtMs = new Map<string, number>();
+  /** Offset of the record with the last change of each server, if known. */
+  readonly #changedAtOffset = new Map<string, number>();
   /** Start of the incarnation that has said that it is leaving, by server id. */
   readonly #leavingBornMs = new Map<string, number>();
   /** Ids whose last description was malformed. */
   readonly #malformedIds = new Set<string>();
   #isLoaded = false;
+  #isReadingImage = false;
   #loadedAtMs = Infinity;
   #regainedAtMs = -Infinity;
   #isLost = false;
@@ -155,16 +158,35 @@
    * @param isComplete - Whether servers missing from the list are gone. They are
    * removed at once, since the assigner has already waited for them to be listed
    * again.
+   * @param listedIds - Ids of all servers of the assigner.
    */
-  adoptAll(servers: readonly GatewayServer[], isComplete: boolean): void {
+  adoptAll(
+    servers: readonly GatewayServer[],
+    isComplete: boolean,
+    listedIds: readonly string[] = servers.map(({id}) => id),
+  ): void {
     for (const server of servers) this.#updateServer(server);
     if (!isComplete) return;
-    const listed = new Set(servers.map(({id}) => id));
+    const listed = new Set(listedIds);
     for (const id of [...this.#registry.servers.keys()]) {
       if (!listed.has(id)) this.#remove(id);
     }
   }
 
+  /**
+   * Lists the servers that a VM may not know which has read the log of servers up
+   * to an offset.
+   *
+   * @param offset - Offset of the next record that the VM reads.
+   * @returns Servers that changed at this offset or later, and those of which this
+   * is unknown because another VM has read the change.
+   */
+  changedSince(offset: number): GatewayServer[] {
+    return [...this.#registry.servers.values()].filter(
+      ({id}) => (this.#changedAtOffset.get(id) ?? Infinity) >= offset,
+    );
+  }
+
   /** Cancels pending removals and ends the stream of changes. */
   close(): void {
     for (const timer of this.#removalTimers.values()) clearTimeout(timer);
@@ -175,9 +197,12 @@
     switch (event.kind) {
       case 'image': {
         const listed = new Set<string>();
+        this.#isReadingImage = true;
         for (const record of event.records) {
           if (this.#adoptRecord(record)) listed.add(record.key);
         }
+        this.#isReadingImage = false;
+        this.logger.info('servers-listed', {count: listed.size});
         for (const id of this.#registry.servers.keys()) {
           if (!listed.has(id)) this.#removeAfterGrace(id);
         }
@@ -215,7 +240,7 @@
       return this.#registry.find(key) !== null;
     }
     this.#malformedIds.delete(key);
-    this.#updateServer(decoded.value);
+    this.#updateServer(decoded.value, record.offset);
     return true;
   }
 
@@ -227,7 +252,7 @@
     this.logger.warn('server-malformed', {server: id, detail});
   }
 
-  #updateServer(described: GatewayServer): void {
+  #updateServer(described: GatewayServer, offset = Infinity): void {
     const key = described.id;
     const isLeaving = this.#leavingBornMs.get(key) === described.bornMs;
     const server = isLeaving ? {...described, isDraining: true} : described;
@@ -239,17 +264,20 @@
       (server.bornMs === known.bornMs && server.sequence > known.sequence);
     if (isNew) this.#describedAtMs.set(key, this.clock.monotonicMs());
     if (this.#registry.update(server) !== 'changed') return;
+    this.#changedAtOffset.set(key, offset);
     if (!server.isDraining) this.#drainingSinceMs.delete(key);
     else if (!this.#drainingSinceMs.has(key)) {
       this.#drainingSinceMs.set(key, this.clock.monotonicMs());
     }
-    this.logger.info('server-changed', {
-      server: key,
-      service: server.service,
-      address: server.address,
-      draining: server.isDraining,
-      born_ms: server.bornMs,
-    });
+    if (!this.#isReadingImage) {
+      this.logger.info('server-changed', {
+        server: key,
+        service: server.service,
+        address: server.address,
+        draining: server.isDraining,
+        born_ms: server.bornMs,
+      });
+    }
     this.#changes.emit({kind: 'server', server});
   }
 
@@ -280,6 +308,7 @@
     this.#registry.remove(id);
     this.#drainingSinceMs.delete(id);
     this.#describedAtMs.delete(id);
+    this.#changedAtOffset.delete(id);
     this.logger.info('server-gone', {server: id});
     this.#changes.emit({kind: 'server-gone', id});
   }
--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -59,7 +59,7 @@
   await peers.listen('127.0.0.1', peerPort);
   const peerAddress = `127.0.0.1:${peerPort}`;
   const coordinator = new Coordinator({
-    log: new OwnershipLog(log, logger),
+    log: new OwnershipLog(log, clock, logger),
     owners: new OwnerView(),
     crashes: new CrashWatch(logger),
     admission: new Admission(),
@@ -77,12 +77,14 @@
     vm: 'vm-1',
     readProgress: () => ({serversAgeMs: 0, bundlesAgeMs: 0, bundlesOffset: 0}),
     zone: 'a',
+    strength: {cpuCores: 1, linkMbps: Infinity},
+    serversOffset: () => undefined,
     peerAddress,
   } as unknown as CoordinatorDependencies);
   const received: GatewayMessage[] = [];
   const link = new PeerLink(
     peerAddress,
-    {kind: 'hello', vm: 'vm-2', zone: 'a'},
+    () => ({kind: 'hello', vm: 'vm-2', zone: 'a'}),
     message => received.push(message),
     clock,
     logger,
--- a/packages/gateway/test/ownership-log.test.ts
+++ b/packages/gateway/test/ownership-log.test.ts
@@ -3,12 +3,13 @@
 import type {KeyedLog, OwnershipRecord} from '@wisteriarun/core';
 import {Result} from 'true-myth';
 import {HttpKeyedLog} from '@wisteriarun/platform';
-import {createLogger} from '@wisteriarun/runtime';
+import {createLogger, SystemClock} from '@wisteriarun/runtime';
 import {PlatformStore} from '@wisteriarun/standins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 const TOPIC = 'keyed.wisteriarun-ownership';
 const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+const clock = new SystemClock();
 
 const record = (vm: string, id: string): OwnershipRecord => ({
   id: `${vm}-${id}`,
@@ -31,7 +32,7 @@
     const open = () => {
       const log = new HttpKeyedLog(`${host}:${port}`);
       logs.push(log);
-      return new OwnershipLog(log, logger);
+      return new OwnershipLog(log, clock, logger);
     };
     firstLog = open();
     secondLog = open();
@@ -78,7 +79,7 @@
       close: () => inner.close(),
     };
     // Of the VM whose append comes after that of the other VM.
-    const late = new OwnershipLog(failing, logger);
+    const late = new OwnershipLog(failing, clock, logger);
     await late.refresh();
     const answer = await late.append(record('vm-1', 'a'));
     expect(answer.isOk && answer.value.kind).toBe('superseded');
@@ -104,7 +105,7 @@
       },
       close: () => inner.close(),
     };
-    const log = new OwnershipLog(late, logger);
+    const log = new OwnershipLog(late, clock, logger);
     await log.refresh();
     expect((await log.append(record('vm-1', 'a'))).isErr).toBe(true);
     await delayedAppend!();
