--- a/packages/ctl/src/request-explanation.ts
+++ b/packages/ctl/src/request-explanation.ts
@@ -14,6 +14,7 @@
   'signal',
   'stopped',
   'bundle-adopted',
+  'bundle-warning',
 ]);
 /** Events of the assigner, which can affect requests at every VM. */
 const ASSIGNMENT_EVENTS: ReadonlySet<string> = new Set([
@@ -41,6 +42,8 @@
   misdirected:
     'the server did not hold the key, and no other owner was known in time',
   'not-sent': 'no connection to the server; the request was never sent',
+  paused:
+    'the server had asked this VM for a pause with a refusal; refused before it was sent',
   refused: 'the server was full and stated that it did not run the request',
   'connection-lost':
     'the server ended the connection before its answer; the request may have run',
