Report an append as uncertain unless the log surely refused it

An append whose first try had no answer and whose second was refused counted as refused, as did one answered with 200 and a body that cannot be decoded; the record may be in the log, and a resigning assigner would resume its grants. Found by reading.

--- a/packages/core/src/types/gateway-ports.ts
+++ b/packages/core/src/types/gateway-ports.ts
@@ -67,11 +67,9 @@
    * @param key - Key of the record.
    * @param value - Value of the record.
    * @param endOffset - Expected end of the log.
-   * @returns The outcome; `append-uncertain` when no answer came or its status
-   * does not tell whether the record was appended, after which the record may
-   * still be appended; or `log-unavailable` when the store refused the append,
-   * or when its answer with status 200 (appended) or 412 (end moved) cannot be
-   * decoded.
+   * @returns The outcome; `append-uncertain` when no answer came or the answer
+   * does not tell whether or where the record was appended, after which the record
+   * may be in the log; or `log-unavailable` when the store refused the append.
    */
   appendAt(
     log: LogName,
--- a/packages/gateway/src/ownership/ownership-log.ts
+++ b/packages/gateway/src/ownership/ownership-log.ts
@@ -128,6 +128,7 @@
       RECORD_KEY,
       'the log has grown and the record was not found',
     );
+    let mayBeAppended = false;
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       // Never null here, as it is not set back to null; this narrows the type.
       if (this.#endOffset === null) {
@@ -145,9 +146,12 @@
         return this.#appended(record, answer.value.offset);
       }
       if (answer.isErr && answer.error.kind === 'log-unavailable') {
-        return Result.err(answer.error);
+        return Result.err(mayBeAppended ? failure : answer.error);
+      }
+      if (answer.isErr) {
+        mayBeAppended = true;
+        failure = answer.error;
       }
-      if (answer.isErr) failure = answer.error;
       // The record may have been appended although the answer was lost.
       const newest = await this.refresh();
       if (newest.isErr) return Result.err(failure);
--- a/packages/gateway/test/ownership-log.test.ts
+++ b/packages/gateway/test/ownership-log.test.ts
@@ -86,6 +86,31 @@
     expect(store.topicEndOffset(TOPIC)).toBe(1);
   });
 
+  // Guards against an assigner that takes a record for refused that may still be
+  // appended: one that resigns would resume its grants.
+  it('does not report an append as refused once a try of it was uncertain', async () => {
+    const inner = logs[0]!;
+    let tries = 0;
+    const failing: KeyedLog = {
+      newest: log => inner.newest(log),
+      read: (log, offset, waitMs) => inner.read(log, offset, waitMs),
+      appendAt: async (log, key) => {
+        tries += 1;
+        return Result.err(
+          tries === 1
+            ? ERRORS.appendUncertain(key, `lost on ${log}`)
+            : ERRORS.logUnavailable('answered 503'),
+        );
+      },
+      close: () => inner.close(),
+    };
+    const log = new OwnershipLog(failing, clock, logger);
+    await log.refresh();
+    const answer = await log.append(record('vm-1', 'a'));
+    expect(tries).toBeGreaterThan(1);
+    expect(answer.isErr && answer.error.kind).toBe('append-uncertain');
+  });
+
   // Guards against a needless end of the term: the assigner took its own
   // record, which was appended late, for a record of another VM. The fault arose
   // when a record was appended seconds after its answer was lost. Here the log
