Take a server that loses connections at once for full

A connection that is lost within a quarter of a request's time now counts as a full server (unless a fresh report shows free slots), reports decay with the time of requests instead of 150 ms, and a read whose connection was lost waits up to 0.15 of its objective before it is sent to the owner again.

--- a/packages/core/src/core/range/server-load-view.ts
+++ b/packages/core/src/core/range/server-load-view.ts
@@ -5,10 +5,18 @@
 /** Weight of a new sample in the averages. */
 const SAMPLE_WEIGHT = 0.2;
 /**
- * Time constant of the decay from the last reported load to the average: an old
- * report says little about the present load.
+ * Time constant of the decay from the last reported load to the average, as a
+ * multiple of the time of a request: an old report says little about the present
+ * load, but a queue of long requests changes slowly.
  */
-const REPORT_DECAY_MS = 150;
+const REPORT_DECAY_RATIO = 2;
+/**
+ * Time to the loss of a connection up to which the server has probably not run the
+ * request, as a share of the time of a request.
+ */
+const QUICK_LOSS_RATIO = 0.25;
+/** Requests for each slot that a server is assumed to have when it is full. */
+const FULL_REQUESTS_PER_SLOT = 5;
 /** Assumed time of a request before any was measured. */
 const DEFAULT_WORK_MS = 80;
 /** Number of consecutive failures that makes a server suspect. */
@@ -102,6 +110,23 @@
     this.#reportedAtMs = nowMs;
   }
 
+  /**
+   * Records that the server closed the connection of a request without an answer.
+   * A server that does so at once is taken for full, unless a fresh report says
+   * otherwise.
+   *
+   * @param tookMs - Time from the start of the attempt to the loss.
+   * @param nowMs - Monotonic time.
+   */
+  connectionLost(tookMs: number, nowMs: number): void {
+    if (tookMs > QUICK_LOSS_RATIO * this.#workMs) return;
+    const isFresh = nowMs - this.#reportedAtMs <= this.#workMs;
+    if (isFresh && this.requests(nowMs) < this.#slots) return;
+    const fullRequests = FULL_REQUESTS_PER_SLOT * this.#slots - this.inFlight;
+    this.#otherRequests = Math.max(this.#otherRequests, fullRequests);
+    this.#reportedAtMs = nowMs;
+  }
+
   /**
    * Records that the server could not be reached or did not answer.
    *
@@ -132,7 +157,7 @@
    */
   requests(nowMs: number): number {
     const ageMs = nowMs - this.#reportedAtMs;
-    const freshness = Math.exp(-ageMs / REPORT_DECAY_MS);
+    const freshness = Math.exp(-ageMs / (REPORT_DECAY_RATIO * this.#workMs));
     const others =
       this.#otherRequestsAverage +
       (this.#otherRequests - this.#otherRequestsAverage) * freshness;
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -42,6 +42,12 @@
  */
 const NOT_RUN_RETRY_MS = 25;
 
+/**
+ * Wait before a request whose connection was lost is sent to the same server again,
+ * as a share of its objective or of the time left, whichever is shorter.
+ */
+const RESEND_WAIT_RATIO = 0.15;
+
 /** Dependencies of the request handler. */
 export interface HandlerDependencies {
   readonly bundles: BundleHolder;
@@ -331,6 +337,7 @@
     } else if (outcome.cause === 'timeout') {
       load.failed(nowMs);
     } else if (outcome.cause === 'connection-lost') {
+      load.connectionLost(tookMs, nowMs);
       crashes.recordLostRequest(server, fingerprintFields(context), nowMs);
     }
     return outcome;
@@ -372,6 +379,8 @@
         }
         if (isIdempotent(route.kind) && this.#mayRetry(context)) {
           context.triedServers.add(server);
+          // Only the owner of a key can run the request, and it may be full.
+          if (context.key !== null) await this.#waitBeforeResending(context);
           return true;
         }
         exchange.fail(502, outcome.cause);
@@ -379,6 +388,17 @@
     }
   }
 
+  /** Waits for room at the server that lost the request, or for another owner. */
+  async #waitBeforeResending({
+    route,
+    deadlineAtMs,
+  }: RequestContext): Promise<void> {
+    const {owners, clock} = this.dependencies;
+    const remainingMs = deadlineAtMs - clock.monotonicMs();
+    const waitMs = Math.min(route.objectiveMs, remainingMs) * RESEND_WAIT_RATIO;
+    await owners.nextChange(waitMs);
+  }
+
   /** Answers a request that did not run, or returns true to retry it. */
   async #settleOrRetryNotRun(
     context: RequestContext,
