--- a/packages/gateway/src/ownership/authority.ts
+++ b/packages/gateway/src/ownership/authority.ts
@@ -16,8 +16,10 @@
  * well, since it cannot be told from a suspension of the VM.
  */
 const PROCESS_PAUSE_MS = 700;
-/** Delay between two appends that verify the term. */
+/** Delay after the first failed append that verifies the term; then it doubles. */
 const VERIFY_RETRY_DELAY_MS = 100;
+/** Longest delay between two appends that verify the term. */
+const MAX_VERIFY_RETRY_DELAY_MS = 800;
 
 /** Suspends grants while another VM may have been elected. */
 export class Authority {
@@ -103,12 +105,14 @@
   }
 
   async #appendUntilAnswered(): Promise<void> {
+    let retryDelayMs = VERIFY_RETRY_DELAY_MS;
     while (!this.#isClosed && !this.publisher.isSuperseded) {
       if (await this.publisher.persist()) {
         this.#isVerified = true;
         return;
       }
-      await delay(VERIFY_RETRY_DELAY_MS);
+      await delay(retryDelayMs);
+      retryDelayMs = Math.min(MAX_VERIFY_RETRY_DELAY_MS, 2 * retryDelayMs);
     }
   }
 }
--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -8,7 +8,7 @@
 /** Wait after the first failed call; each further failure doubles it. */
 const INITIAL_BACKOFF_MS = 50;
 /** Longest wait after a failed call. */
-const MAX_BACKOFF_MS = 400;
+const MAX_BACKOFF_MS = 1_000;
 
 /** Interval at which a follower checks whether a read is needed again. */
 const RECHECK_MS = 200;
--- a/testing/standins/src/platform/store.ts
+++ b/testing/standins/src/platform/store.ts
@@ -193,7 +193,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const from = Number(url.searchParams.get('from'));
-    const waitMs = Number(url.searchParams.get('wait_ms') ?? 0);
+    // Like the platform's store, does not wait if this is not a whole number.
+    const waitText = url.searchParams.get('wait_ms') ?? '';
+    const waitMs = /^\d+$/.test(waitText) ? Number(waitText) : 0;
     if (from < topic.firstOffset) {
       sendJson(response, 410, {first: topic.firstOffset});
       return;
