Wait 3 ms before a new connection to a server is used

A new connection now counts as established only if it is open after 3 ms; otherwise the request was never sent. The new test failed before (unknown instead of not sent).

--- a/deploy/undici-pool.cjs
+++ b/deploy/undici-pool.cjs
@@ -8,4 +8,7 @@
 // The main module of undici, which is not loaded, would add this method.
 Dispatcher.prototype.request = require('undici/lib/api/api-request.js');
 
-module.exports = {Pool};
+module.exports = {
+  Pool,
+  buildConnector: require('undici/lib/core/connect.js'),
+};
--- a/packages/gateway/src/entry/server-pool.ts
+++ b/packages/gateway/src/entry/server-pool.ts
@@ -2,6 +2,7 @@
 import {ServerLoadView} from '@wisteriarun/core';
 import type {GatewayServer} from '@wisteriarun/core';
 import {Pool} from 'undici';
+import {settledConnector} from './settled-connector.js';
 
 /**
  * Longest time to open a connection: enough for four round trips, but below the
@@ -47,7 +48,7 @@
           connections: MAX_CONNECTIONS,
           pipelining: 1,
           keepAliveTimeout: KEEP_ALIVE_MS,
-          connect: {timeout: CONNECT_TIMEOUT_MS},
+          connect: settledConnector(CONNECT_TIMEOUT_MS),
         }),
         load: new ServerLoadView(server.slots),
         lastUsedAtMs: nowMs,
--- /dev/null
+++ b/packages/gateway/test/full-servers.test.ts
@@ -0,0 +1,74 @@
+import {createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {PLATFORM_HEADERS} from '@wisteriarun/platform';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {Attempt} from '../src/entry/attempt.js';
+import {ServerPool} from '../src/entry/server-pool.js';
+import {gatewayServer} from './fixtures.js';
+
+const sink = {begin() {}, write: () => true, end() {}, abort() {}};
+
+// Guards against a request that is answered as possibly run (502), although the
+// server has reset the connection because it accepts no more of them.
+describe('a server that accepts no more connections', () => {
+  let server: Server;
+  let accept: (socket: Socket) => void;
+  let pool: ServerPool;
+  let address: string;
+
+  beforeEach(async () => {
+    server = createServer(socket => {
+      socket.on('error', () => {});
+      accept(socket);
+    });
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    pool = new ServerPool();
+  });
+
+  afterEach(() => {
+    pool.close();
+    server.close();
+  });
+
+  const send = () =>
+    new Attempt(
+      pool.forServer(gatewayServer('i-1', {address}), 0).pool,
+      {
+        method: 'POST',
+        path: '/x',
+        headers: {host: 'h', 'request-id': 'id-1'},
+        body: Buffer.from('x'),
+        id: 'id-1',
+        timeoutMs: 1_000,
+      },
+      PLATFORM_HEADERS,
+      sink,
+    ).outcome;
+
+  it('gets no request on a connection that it resets at once', async () => {
+    let receivedBytes = 0;
+    accept = socket => {
+      socket.on('data', chunk => (receivedBytes += chunk.length));
+      // The system accepts the connection before the server resets it.
+      setTimeout(() => socket.resetAndDestroy(), 1);
+    };
+    expect(await send()).toMatchObject({kind: 'not-run', cause: 'not-sent'});
+    expect(receivedBytes).toBe(0);
+  });
+
+  it('gets the next request once it accepts connections again', async () => {
+    accept = socket => socket.resetAndDestroy();
+    await send();
+    accept = socket =>
+      socket.once('data', () =>
+        socket.write(
+          'HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Signature: s\r\n' +
+            'Content-Length: 0\r\n\r\n',
+        ),
+      );
+    expect(await send()).toMatchObject({kind: 'answered', status: 200});
+  });
+});
