Wait for the former owner's work after its fence was raised

It first raised the server's fence with a grant of 0.5 s, counted the keys as free 0.61 s after that, and granted them to the next owner while the former one still worked on them; its release was answered later. Works of 60 ms hid this, works of 300 ms show it.

The grant that raises the fence now has the usual hold time, so that the mover waits for the answer to the release, or until that hold has lapsed.

--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -39,8 +39,6 @@
  * grant was not answered, or was not sent because grants are suspended.
  */
 const MAX_GRANT_TRIES = 3;
-/** Hold time of a grant that only serves to raise the fence of a server. */
-const FENCE_HOLD_MS = 500;
 
 /**
  * Why a range moves: its owner is draining, is not listed any more (`gone`), is
@@ -317,7 +315,8 @@
   /**
    * Raises the server's fence if a grant to it was not answered: such a grant
    * could take effect after the release, but a server that has accepted a
-   * higher fence refuses it.
+   * higher fence refuses it. The grant has the usual hold time: the server may
+   * still work on the keys after a shorter one.
    */
   async #fenceOff(
     range: RangeOwner,
@@ -329,7 +328,7 @@
     const held = {...range, fence: this.nextFence(), server};
     await this.#send(held, {
       address,
-      holdMs: FENCE_HOLD_MS,
+      holdMs: this.dependencies.holdMs,
       handover: null,
       timeoutMs: GRANT_TIMEOUT_MS,
     });
