Send small bundles to many VMs over the links

The assigner now sends the record to linked VMs that say they take it, if there are 30 links or more and all copies take at most 2 MiB. Fewer VMs read the store as before: there, bytes between zones weigh more. A VM that misses one reads it once the heartbeat names a later offset.

Tests: coordinator.test.ts (32 and 12 links, a large bundle, VMs of an earlier version) and a follower that adopts a record during its read.

--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -217,6 +217,8 @@
      * assigner sends all servers.
      */
     serversOffset: z.int().optional(),
+    /** Whether the VM understands messages of kind `bundle`. */
+    takesBundles: z.boolean().optional(),
   }),
   /** Load that a VM measured since its last report, for the assigner. */
   z.object({
@@ -240,6 +242,13 @@
     /** Offset up to which it has read the log of bundles. */
     bundlesOffset: z.int(),
   }),
+  /** A record of the log of bundles that the assigner has read. */
+  z.object({
+    kind: z.literal('bundle'),
+    key: z.string(),
+    value: z.custom<Uint8Array>(value => value instanceof Uint8Array),
+    offset: z.int().min(0),
+  }),
   /** Servers that the assigner knows. */
   z.object({
     kind: z.literal('servers'),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -153,6 +153,12 @@
       clock,
       logger,
     );
+    // Before the bundles are adopted, which announces their offset to the other VMs.
+    void this.#bundleFollower.events.observe(event => {
+      if (event.kind === 'records') {
+        this.#coordinator.shareBundles(event.records);
+      }
+    });
     this.#bundles = new BundleHolder(this.#bundleFollower, codec, logger);
     this.#directory = new ServerDirectory(
       this.#serverFollower,
@@ -182,6 +188,7 @@
       }),
       zone: settings.vm.zone,
       strength: settings.strength,
+      adoptBundle: record => this.#bundleFollower.adopt(record),
       serversOffset: () => this.#serverFollower.offset ?? undefined,
       peerAddress: `${settings.vm.host}:${settings.peerPort}`,
     });
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -6,6 +6,7 @@
   CrashRecord,
   GatewayMessage,
   GatewayServer,
+  KeyedRecord,
   OwnershipRecord,
   OwnershipView,
   VmStrength,
@@ -49,6 +50,14 @@
 /** Random share by which the time between two attempts is longer. */
 const RELINK_JITTER_RATIO = 0.5;
 
+/**
+ * Number of linked VMs from which the assigner sends new bundles to them. Few VMs read
+ * the store instead: there, bytes between zones weigh more than calls.
+ */
+const MIN_BUNDLE_LINKS = 30;
+/** Bytes that one bundle may take on all links together. */
+const MAX_BUNDLE_BROADCAST_BYTES = 2_097_152;
+
 /** Stands for an assigner whose reads are not known. */
 const NO_READS: LogReadProgress = {
   serversAgeMs: Infinity,
@@ -65,6 +74,8 @@
   readonly owners: OwnerView;
   readonly crashes: CrashWatch;
   readonly zone: string;
+  /** Adopts a record of the log of bundles that the assigner has read. */
+  adoptBundle(record: KeyedRecord): void;
   /** Offset up to which this VM has read the log of servers; undefined before. */
   serversOffset(): number | undefined;
   /** Resources of this VM. */
@@ -191,6 +202,24 @@
     else this.#link?.send(message);
   }
 
+  /**
+   * Sends records of the log of bundles to the other VMs if this VM is the assigner.
+   * Small bundles only: VMs read others themselves once a heartbeat tells that there
+   * is a new one.
+   *
+   * @param records - Records that this VM has read.
+   */
+  shareBundles(records: readonly KeyedRecord[]): void {
+    const {peers} = this.dependencies;
+    if (this.#assigner === null || peers.linkCount < MIN_BUNDLE_LINKS) return;
+    for (const {key, value, offset} of records) {
+      if (value === null) continue;
+      if (value.length * peers.linkCount > MAX_BUNDLE_BROADCAST_BYTES) continue;
+      const message: GatewayMessage = {kind: 'bundle', key, value, offset};
+      peers.broadcast(message, hello => hello.takesBundles === true);
+    }
+  }
+
   /**
    * Tells the assigner that a server has said that it is leaving.
    *
@@ -393,6 +422,15 @@
           message.listedIds,
         );
         break;
+      case 'bundle': {
+        const {key, value, offset} = message;
+        this.dependencies.adoptBundle({
+          key,
+          value: Buffer.from(value),
+          offset,
+        });
+        break;
+      }
       case 'server':
       case 'server-gone':
         directory.adopt(message);
@@ -436,7 +474,13 @@
   /** Message that asks the assigner for its state. */
   #hello(): GatewayMessage {
     const {vm, zone, serversOffset} = this.dependencies;
-    return {kind: 'hello', vm, zone, serversOffset: serversOffset()};
+    return {
+      kind: 'hello',
+      vm,
+      zone,
+      serversOffset: serversOffset(),
+      takesBundles: true,
+    };
   }
 
   /**
--- a/packages/gateway/src/ownership/peer-server.ts
+++ b/packages/gateway/src/ownership/peer-server.ts
@@ -12,6 +12,9 @@
 /** Unsent bytes above which a link counts as stuck and is closed. */
 const MAX_BACKLOG_BYTES = 4_194_304;
 
+/** First message of a VM on a link. */
+type Hello = Extract<GatewayMessage, {kind: 'hello'}>;
+
 /** A message and the means to answer its sender. */
 export interface ReceivedMessage {
   readonly message: GatewayMessage;
@@ -22,8 +25,8 @@
 export class PeerServer {
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
-  /** Sockets that have sent a `hello` message. */
-  readonly #linked = new Set<Socket>();
+  /** Sockets that have sent a `hello` message, with the last one. */
+  readonly #linked = new Map<Socket, Hello>();
   readonly #messages = new Channel<ReceivedMessage>();
 
   /**
@@ -63,12 +66,17 @@
    * Sends a message to all linked VMs.
    *
    * @param message - The message.
+   * @param isFor - Which VMs get it, by their hello; all by default.
    */
-  broadcast(message: GatewayMessage): void {
+  broadcast(
+    message: GatewayMessage,
+    isFor: (hello: Hello) => boolean = () => true,
+  ): void {
     if (this.#linked.size === 0) return;
     const frame = encodeMessage(message, this.logger);
     if (frame === null) return;
-    for (const socket of this.#linked) {
+    for (const [socket, hello] of this.#linked) {
+      if (!isFor(hello)) continue;
       if (socket.writableLength > MAX_BACKLOG_BYTES) socket.destroy();
       else socket.write(frame);
     }
@@ -104,7 +112,7 @@
           socket.destroy();
           return;
         }
-        if (message.kind === 'hello') this.#linked.add(socket);
+        if (message.kind === 'hello') this.#linked.set(socket, message);
         this.#messages.emit({message, reply});
       }
     });
--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -75,6 +75,19 @@
     return this.#offset;
   }
 
+  /**
+   * Adopts a record that another VM has read, if this VM has not read it yet. Records
+   * between the last read and this one are skipped: it is the newest of its key, and
+   * the log holds the complete value of a key in each record.
+   *
+   * @param record - The record.
+   */
+  adopt(record: KeyedRecord): void {
+    if (this.#offset === null || record.offset < this.#offset) return;
+    this.#offset = record.offset + 1;
+    this.#channel.emit({kind: 'records', records: [record]});
+  }
+
   /** Starts reading. */
   start(): void {
     void this.#run();
@@ -128,10 +141,13 @@
       return true;
     }
     this.#markRegained();
-    this.#offset = batch.value.nextOffset;
-    if (batch.value.records.length > 0) {
-      this.#channel.emit({kind: 'records', records: batch.value.records});
-    }
+    // Records may have been adopted during the read.
+    const adoptedOffset = this.#offset;
+    this.#offset = Math.max(adoptedOffset, batch.value.nextOffset);
+    const records = batch.value.records.filter(
+      ({offset}) => offset >= adoptedOffset,
+    );
+    if (records.length > 0) this.#channel.emit({kind: 'records', records});
     return true;
   }
 
--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -7,7 +7,7 @@
 import {HttpKeyedLog, PLATFORM_CODEC} from '@wisteriarun/platform';
 import {Channel, createLogger, SystemClock} from '@wisteriarun/runtime';
 import {PlatformStore} from '@wisteriarun/standins';
-import {expect, it, vi} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {CrashWatch} from '../src/entry/crash-watch.js';
 import {Coordinator} from '../src/ownership/coordinator.js';
 import type {CoordinatorDependencies} from '../src/ownership/coordinator.js';
@@ -15,7 +15,8 @@
 import {OwnershipLog} from '../src/ownership/ownership-log.js';
 import {PeerLink} from '../src/ownership/peer-link.js';
 import {PeerServer} from '../src/ownership/peer-server.js';
-import type {FollowEvent, LogFollower} from '../src/store/log-follower.js';
+import {LogFollower} from '../src/store/log-follower.js';
+import type {FollowEvent} from '../src/store/log-follower.js';
 import {ServerDirectory} from '../src/store/server-directory.js';
 import {freePorts} from './harness.js';
 
@@ -48,58 +49,190 @@
   return directory;
 }
 
+/** A coordinator that is elected at once, with the store and links that it needs. */
+class ElectedCoordinator {
+  readonly #links: PeerLink[] = [];
+  #close = async () => {};
+  coordinator!: Coordinator;
+  peers!: PeerServer;
+  #peerAddress = '';
+
+  async create(): Promise<void> {
+    const store = new PlatformStore();
+    const {host, port} = await store.start();
+    const log = new HttpKeyedLog(`${host}:${port}`);
+    const [peerPort = 0] = await freePorts(1);
+    this.peers = new PeerServer(logger);
+    await this.peers.listen('127.0.0.1', peerPort);
+    this.#peerAddress = `127.0.0.1:${peerPort}`;
+    this.coordinator = new Coordinator({
+      log: new OwnershipLog(log, clock, logger),
+      owners: new OwnerView(),
+      crashes: new CrashWatch(logger),
+      admission: new Admission(),
+      directory: directoryOf([]),
+      bundles: {
+        bundle: {services: []},
+        changes: new Channel(),
+        service: () => null,
+      },
+      granter: {},
+      peers: this.peers,
+      clock,
+      logger,
+      holdMs: 4_000,
+      vm: 'vm-1',
+      readProgress: () => ({
+        serversAgeMs: 0,
+        bundlesAgeMs: 0,
+        bundlesOffset: 0,
+      }),
+      zone: 'a',
+      strength: {cpuCores: 1, linkMbps: Infinity},
+      serversOffset: () => undefined,
+      peerAddress: this.#peerAddress,
+    } as unknown as CoordinatorDependencies);
+    this.#close = async () => {
+      this.coordinator.close();
+      this.peers.close();
+      log.close();
+      await store.close();
+    };
+  }
+
+  /** Opens a link as another VM does; returns the messages that it receives. */
+  link(hello: Partial<GatewayMessage> = {}): GatewayMessage[] {
+    const received: GatewayMessage[] = [];
+    const link = new PeerLink(
+      this.#peerAddress,
+      () =>
+        ({kind: 'hello', vm: 'vm-2', zone: 'a', ...hello}) as GatewayMessage,
+      message => received.push(message),
+      clock,
+      logger,
+    );
+    this.#links.push(link);
+    return received;
+  }
+
+  async elect(): Promise<void> {
+    this.coordinator.start();
+    await vi.waitFor(
+      () => expect(this.coordinator.isAssigner).toBe(true),
+      5_000,
+    );
+  }
+
+  async close(): Promise<void> {
+    for (const link of this.#links) link.close();
+    await this.#close();
+  }
+}
+
+const kindsOf = (messages: readonly GatewayMessage[]) =>
+  messages.map(({kind}) => kind);
+
 // Guards against VMs with an incomplete list of servers: one that was linked
 // before the election received later changes, but never the whole list.
 it('a VM that is linked before the election receives all servers', async () => {
-  const store = new PlatformStore();
-  const {host, port} = await store.start();
-  const log = new HttpKeyedLog(`${host}:${port}`);
-  const [peerPort = 0] = await freePorts(1);
-  const peers = new PeerServer(logger);
-  await peers.listen('127.0.0.1', peerPort);
-  const peerAddress = `127.0.0.1:${peerPort}`;
-  const coordinator = new Coordinator({
-    log: new OwnershipLog(log, clock, logger),
-    owners: new OwnerView(),
-    crashes: new CrashWatch(logger),
-    admission: new Admission(),
-    directory: directoryOf([]),
-    bundles: {
-      bundle: {services: []},
-      changes: new Channel(),
-      service: () => null,
-    },
-    granter: {},
-    peers,
-    clock,
-    logger,
-    holdMs: 4_000,
-    vm: 'vm-1',
-    readProgress: () => ({serversAgeMs: 0, bundlesAgeMs: 0, bundlesOffset: 0}),
-    zone: 'a',
-    strength: {cpuCores: 1, linkMbps: Infinity},
-    serversOffset: () => undefined,
-    peerAddress,
-  } as unknown as CoordinatorDependencies);
-  const received: GatewayMessage[] = [];
-  const link = new PeerLink(
-    peerAddress,
-    () => ({kind: 'hello', vm: 'vm-2', zone: 'a'}),
-    message => received.push(message),
-    clock,
-    logger,
-  );
-  await vi.waitFor(() => expect(peers.linkCount).toBe(1));
-  coordinator.start();
-  await vi.waitFor(() => expect(coordinator.isAssigner).toBe(true), 5_000);
-  await vi.waitFor(() =>
-    expect(received.map(({kind}) => kind)).toContain('heartbeat'),
-  );
+  const elected = new ElectedCoordinator();
+  await elected.create();
+  const received = elected.link();
+  await vi.waitFor(() => expect(elected.peers.linkCount).toBe(1));
+  await elected.elect();
+  await vi.waitFor(() => expect(kindsOf(received)).toContain('heartbeat'));
+  await elected.close();
   const serverLists = received.filter(({kind}) => kind === 'servers');
-  link.close();
-  coordinator.close();
-  peers.close();
-  log.close();
-  await store.close();
   expect(serverLists).toMatchObject([{servers: [{id: 'i-1'}]}]);
 });
+
+describe('a bundle that the assigner has read', () => {
+  const record = (bytes: number): KeyedRecord => ({
+    key: 'config',
+    value: Buffer.alloc(bytes, 'x'),
+    offset: 7,
+  });
+  let elected: ElectedCoordinator;
+
+  beforeEach(async () => {
+    elected = new ElectedCoordinator();
+    await elected.create();
+  });
+
+  afterEach(() => elected.close());
+
+  /** Links VMs, shares a bundle, and returns how many of them have received it. */
+  async function countReceivers(
+    linkCount: number,
+    bytes: number,
+    hello: Partial<GatewayMessage>,
+  ): Promise<number> {
+    const links = Array.from({length: linkCount}, () => elected.link(hello));
+    await vi.waitFor(() => expect(elected.peers.linkCount).toBe(linkCount));
+    await elected.elect();
+    elected.coordinator.shareBundles([record(bytes)]);
+    // Sent after the bundle, on the same connections.
+    await vi.waitFor(() => {
+      for (const received of links) {
+        expect(kindsOf(received)).toContain('heartbeat');
+      }
+    }, 5_000);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    const bundles = links.flatMap(received =>
+      received.filter(message => message.kind === 'bundle'),
+    );
+    for (const bundle of bundles) {
+      expect(bundle).toMatchObject({key: 'config', offset: 7});
+      expect(Buffer.from(bundle.value)).toEqual(record(bytes).value);
+    }
+    return bundles.length;
+  }
+
+  it('goes to all of many VMs', async () => {
+    expect(await countReceivers(32, 4_000, {takesBundles: true})).toBe(32);
+  });
+
+  it('does not go to few VMs, which read the store', async () => {
+    expect(await countReceivers(12, 4_000, {takesBundles: true})).toBe(0);
+  });
+
+  it('does not go to many VMs if it is large', async () => {
+    expect(await countReceivers(32, 100_000, {takesBundles: true})).toBe(0);
+  });
+
+  it('does not go to VMs of an earlier version', async () => {
+    expect(await countReceivers(32, 4_000, {})).toBe(0);
+  });
+});
+
+describe('a follower of a log', () => {
+  it('skips records that it has adopted from another VM', async () => {
+    const store = new PlatformStore();
+    const {host, port} = await store.start();
+    const log = new HttpKeyedLog(`${host}:${port}`);
+    const follower = new LogFollower(
+      log,
+      'bundles',
+      {waitMs: () => 300, pauseMs: () => 0, isNeeded: () => true},
+      clock,
+      logger,
+    );
+    const offsets: number[] = [];
+    void follower.events.observe(event => {
+      if (event.kind !== 'records') return;
+      offsets.push(...event.records.map(({offset}) => offset));
+    });
+    follower.start();
+    await vi.waitFor(() => expect(follower.offset).toBe(0));
+    // While a read of offset 0 waits.
+    const adopted = {key: 'config', value: Buffer.from('b'), offset: 1};
+    follower.adopt(adopted);
+    follower.adopt(adopted);
+    for (const text of ['a', 'b', 'c']) store.put('keyed.op', 'config', text);
+    await vi.waitFor(() => expect(follower.offset).toBe(3));
+    follower.close();
+    log.close();
+    await store.close();
+    expect(offsets).toEqual([1, 2]);
+  });
+});
