--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -1,11 +1,6 @@
 /** Serves callers' requests: selects servers, retries and answers. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  isIdempotent,
-  parseCount,
-  RetryBudget,
-  singleHeader,
-} from '@wisteriarun/core';
+import {isIdempotent, parseCount, singleHeader} from '@wisteriarun/core';
 import type {
   CrashRecord,
   FingerprintFields,
@@ -26,6 +21,7 @@
 import type {RequestLog} from './request-log.js';
 import type {RequestMeter} from './request-meter.js';
 import {parseKey, requestHeaders} from './request-headers.js';
+import {RetryBudgets} from './retry-budgets.js';
 import type {ServerSelector} from './server-selector.js';
 
 /** With less time left, no server can answer before the deadline. */
@@ -66,38 +62,6 @@
   shareCrashes(records: readonly CrashRecord[]): void;
 }
 
-/** Retry budgets, one for each service. */
-export class RetryBudgets {
-  readonly #budgets = new Map<string, RetryBudget>();
-  #limits = {ratio: 0, slack: 0};
-
-  /**
-   * Sets this VM's share of the retry budget of all VMs.
-   *
-   * @param ratio - Retries allowed as a share of the first attempts.
-   * @param slack - Retries allowed in addition to that share.
-   */
-  setLimits(ratio: number, slack: number): void {
-    this.#limits = {ratio, slack};
-    for (const budget of this.#budgets.values()) budget.setLimits(this.#limits);
-  }
-
-  /**
-   * Returns the retry budget of a service.
-   *
-   * @param service - Name of the service.
-   * @returns The budget, created on first use.
-   */
-  forService(service: string): RetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      budget = new RetryBudget(this.#limits);
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
-}
-
 /** State of one request while it is served. */
 interface RequestContext {
   readonly exchange: Exchange;
--- a/packages/gateway/src/entry/server-pool.ts
+++ b/packages/gateway/src/entry/server-pool.ts
@@ -10,6 +10,11 @@
  * that is down exceeds it.
  */
 const CONNECT_TIMEOUT_MS = 400;
+/**
+ * Time after which a new connection counts as accepted: a round trip between
+ * availability zones and the server's own delay.
+ */
+const SETTLE_MS = 3;
 /** Below the idle timeout of servers that do not send a `keep-alive` header. */
 const KEEP_ALIVE_MS = 4_000;
 /** Limit on the connections of one VM to one server. */
@@ -48,7 +53,7 @@
           connections: MAX_CONNECTIONS,
           pipelining: 1,
           keepAliveTimeout: KEEP_ALIVE_MS,
-          connect: settledConnector(CONNECT_TIMEOUT_MS),
+          connect: settledConnector(CONNECT_TIMEOUT_MS, SETTLE_MS),
         }),
         load: new ServerLoadView(server.slots),
         lastUsedAtMs: nowMs,
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -15,15 +15,13 @@
 import {delay} from '../utils/delay.js';
 import {Assigner} from './assigner.js';
 import type {AssignerDependencies, LogReadProgress} from './assigner.js';
+import {AssignerLink} from './assigner-link.js';
 import type {OwnerView} from './owner-view.js';
 import type {OwnershipLog, StoredOwnershipRecord} from './ownership-log.js';
-import {PeerLink} from './peer-link.js';
 import {TablePublisher} from './table-publisher.js';
 
 /** Interval at which the state of the assigner is checked. */
 const STEP_MS = 100;
-/** Silence after which the link to the assigner counts as broken. */
-const LINK_SILENCE_MS = 900;
 /** Pause after a failed read of the log while there is no link. */
 const WATCH_INTERVAL_MS = 250;
 /** Longest wait for a record of the log while there is no link. */
@@ -39,17 +37,6 @@
  * lacks are gone.
  */
 const FRESH_SERVERS_MS = 1_000;
-/**
- * Time after which a link that is not live is opened anew. Each further attempt at
- * the same process waits twice as long: an assigner that is busy answering many VMs
- * would otherwise get ever more links.
- */
-const RELINK_MS = 500;
-/** Longest time between two attempts to connect to the same process. */
-const MAX_RELINK_MS = 4_000;
-/** Random share by which the time between two attempts is longer. */
-const RELINK_JITTER_RATIO = 0.5;
-
 /**
  * Number of linked VMs from which the assigner sends new bundles to them. Few VMs read
  * the store instead: there, bytes between zones weigh more than calls.
@@ -88,10 +75,7 @@
   readonly #contact: AssignerContact;
   #assigner: Assigner | null = null;
   #publisher: TablePublisher | null = null;
-  #link: PeerLink | null = null;
-  #linkedIncarnation: string | null = null;
-  #linkTriedAtMs = -Infinity;
-  #relinkMs = RELINK_MS;
+  readonly #link: AssignerLink;
   #assignerSeenAtMs: number;
   #adoptedOffset = -1;
   #isAssignerLogLost = false;
@@ -116,6 +100,12 @@
       peerAddress: dependencies.peerAddress,
       incarnation: randomUUID(),
     };
+    this.#link = new AssignerLink(
+      () => this.#hello(),
+      message => this.#handleMessage(message),
+      dependencies.clock,
+      dependencies.logger,
+    );
     this.#assignerSeenAtMs = dependencies.clock.monotonicMs();
     this.#electionDelayMs = electionDelayMs(
       dependencies.strength,
@@ -164,7 +154,7 @@
    * the assigner itself, the ages are infinite and the offset is 0.
    */
   get assignerReads(): LogReadProgress {
-    if (this.isAssigner || !this.#isLinkLive()) return NO_READS;
+    if (this.isAssigner || !this.#link.isLive) return NO_READS;
     const sinceMs =
       this.dependencies.clock.monotonicMs() - this.#assignerReadsAtMs;
     const {serversAgeMs, bundlesAgeMs, bundlesOffset} = this.#assignerReads;
@@ -187,7 +177,7 @@
    */
   report(report: Extract<GatewayMessage, {kind: 'load'}>): void {
     if (this.#assigner !== null) this.#assigner.addLoad(report);
-    else this.#link?.send(report);
+    else this.#link.send(report);
   }
 
   /**
@@ -199,7 +189,7 @@
     if (records.length === 0) return;
     const message: GatewayMessage = {kind: 'crashes', records: [...records]};
     if (this.#assigner !== null) this.dependencies.peers.broadcast(message);
-    else this.#link?.send(message);
+    else this.#link.send(message);
   }
 
   /**
@@ -226,7 +216,7 @@
    * @param server - The server, as draining; dropped while there is no link.
    */
   reportLeaving(server: GatewayServer): void {
-    this.#link?.send({kind: 'server', server});
+    this.#link.send({kind: 'server', server});
   }
 
   /**
@@ -252,7 +242,7 @@
     this.#isClosed = true;
     this.#assigner?.close();
     this.#publisher?.close();
-    this.#link?.close();
+    this.#link.close();
   }
 
   async #run(): Promise<void> {
@@ -266,7 +256,7 @@
   async #step(): Promise<number> {
     if (this.#assigner !== null) return STEP_MS;
     if (!this.#isLoaded) return await this.#loadNewestRecord();
-    if (this.#isLinkLive() && !this.#isAssignerLogLost) {
+    if (this.#link.isLive && !this.#isAssignerLogLost) {
       this.#assignerSeenAtMs = this.dependencies.clock.monotonicMs();
       return STEP_MS;
     }
@@ -304,12 +294,12 @@
     const {clock, log} = this.dependencies;
     const newest = await log.follow(this.#watchWaitMs());
     const nowMs = clock.monotonicMs();
-    if (this.#isLinkLive() && !this.#isAssignerLogLost) return STEP_MS;
+    if (this.#link.isLive && !this.#isAssignerLogLost) return STEP_MS;
     if (newest.isErr) {
       // While the log cannot be read, its silence does not show that the
       // assigner is down.
       this.#assignerSeenAtMs = nowMs;
-      this.#tryLink(log.newest, nowMs);
+      this.#tryLink(log.newest);
       return WATCH_INTERVAL_MS;
     }
     const stored = newest.value;
@@ -327,13 +317,13 @@
       await this.#tryElection(stored);
       return STEP_MS;
     }
-    this.#tryLink(stored, nowMs);
+    this.#tryLink(stored);
     return 0;
   }
 
   /** Time from which the assigner counts as lost without a sign of life. */
   #replaceAtMs(): number {
-    const replaceMs = this.#isLinkLive()
+    const replaceMs = this.#link.isLive
       ? REPLACE_WITHOUT_LOG_MS
       : REPLACE_AFTER_MS;
     return this.#assignerSeenAtMs + replaceMs + this.#electionDelayMs;
@@ -369,47 +359,20 @@
     });
   }
 
-  #isLinkLive(): boolean {
-    const link = this.#link;
-    return link !== null && link.isOpen && link.silentMs < LINK_SILENCE_MS;
-  }
-
-  /**
-   * Connects to the assigner of a record, unless there is a live link to it or
-   * the last attempt was a short time ago.
-   */
-  #tryLink(stored: StoredOwnershipRecord | null, nowMs: number): void {
+  /** Connects to the assigner of a record if that is due. */
+  #tryLink(stored: StoredOwnershipRecord | null): void {
     if (stored === null || this.#isTermOver(stored.record)) return;
-    const {incarnation, peerAddress} = stored.record.assigner;
-    const isSame = this.#linkedIncarnation === incarnation;
-    if (isSame && this.#isLinkLive()) return;
-    if (!isSame) this.#relinkMs = RELINK_MS;
-    if (nowMs - this.#linkTriedAtMs < this.#relinkMs) return;
-    if (isSame) {
-      const jitter = 1 + Math.random() * RELINK_JITTER_RATIO;
-      this.#relinkMs = Math.min(MAX_RELINK_MS, this.#relinkMs * 2 * jitter);
-    }
-    this.#linkTriedAtMs = nowMs;
-    this.#linkedIncarnation = incarnation;
+    if (!this.#link.open(stored.record.assigner)) return;
     this.#isResyncing = false;
     this.#isAssignerLogLost = false;
     this.#assignerReads = NO_READS;
-    this.#link?.close();
-    const {clock, logger} = this.dependencies;
-    this.#link = new PeerLink(
-      peerAddress,
-      () => this.#hello(),
-      message => this.#handleMessage(message),
-      clock,
-      logger,
-    );
   }
 
   #handleMessage(message: GatewayMessage): void {
     const {owners, directory, crashes, admission, clock} = this.dependencies;
     switch (message.kind) {
       case 'heartbeat':
-        this.#relinkMs = RELINK_MS;
+        this.#link.heartbeatReceived();
         this.#isAssignerLogLost = message.isLogLost;
         this.#assignerReads = message;
         this.#assignerReadsAtMs = clock.monotonicMs();
@@ -511,7 +474,7 @@
     if (this.#isResyncing) return;
     this.#isResyncing = true;
     this.dependencies.logger.info('view-gap', {term, revision});
-    this.#link?.send(this.#hello());
+    this.#link.send(this.#hello());
   }
 
   /**
@@ -534,8 +497,7 @@
     const term = answer.value.offset;
     logger.info('assigner-elected', {term, former: former?.assigner.vm});
     if (this.#isClosed || !this.#mayAssign) return;
-    this.#link?.close();
-    this.#link = null;
+    this.#link.close();
     this.#publisher = new TablePublisher(
       this.dependencies,
       this.#contact,
