Link and stand for election before waiting for the next record

The wait for the next record came before the newest one was looked at.

A streamed answer registered one drain listener for each buffered chunk, which Node warns about in the log; it now has one.

--- a/packages/gateway/src/entry/exchange.ts
+++ b/packages/gateway/src/entry/exchange.ts
@@ -64,6 +64,7 @@
    */
   readonly socket: Socket;
   #hasClosedEarly = false;
+  #isWaitingForDrain = false;
   #isStreamConsumed = false;
   #mayHaveRun = false;
   #attemptSummaries: string[] = [];
@@ -235,7 +236,14 @@
 
   write(chunk: Buffer, resume: () => void): boolean {
     if (this.response.write(chunk)) return true;
-    this.response.once('drain', resume);
+    // Buffered chunks are all written, whether or not the response wants more.
+    if (!this.#isWaitingForDrain) {
+      this.#isWaitingForDrain = true;
+      this.response.once('drain', () => {
+        this.#isWaitingForDrain = false;
+        resume();
+      });
+    }
     return false;
   }
 
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -292,6 +292,7 @@
    */
   async #watchLog(): Promise<number> {
     const {clock, log} = this.dependencies;
+    this.#tryLink(log.newest);
     const newest = await log.follow(this.#watchWaitMs());
     const nowMs = clock.monotonicMs();
     if (this.#link.isLive && !this.#isAssignerLogLost) return STEP_MS;
@@ -329,8 +330,13 @@
     return this.#assignerSeenAtMs + replaceMs + this.#electionDelayMs;
   }
 
-  /** How long to wait for the next record: until the assigner counts as lost. */
+  /**
+   * How long to wait for the next record: until the assigner counts as lost, and not
+   * at all if its term is over.
+   */
   #watchWaitMs(): number {
+    const {newest} = this.dependencies.log;
+    if (newest === null || this.#isTermOver(newest.record)) return 0;
     const leftMs = this.#replaceAtMs() - this.dependencies.clock.monotonicMs();
     return Math.min(MAX_WATCH_WAIT_MS, Math.max(MIN_WATCH_WAIT_MS, leftMs));
   }
--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -3,6 +3,7 @@
   GatewayMessage,
   GatewayServer,
   KeyedRecord,
+  OwnershipRecord,
 } from '@wisteriarun/core';
 import {HttpKeyedLog, PLATFORM_CODEC} from '@wisteriarun/platform';
 import {Channel, createLogger, SystemClock} from '@wisteriarun/runtime';
@@ -57,10 +58,16 @@
   peers!: PeerServer;
   #peerAddress = '';
 
-  async create(): Promise<void> {
+  /** @param recorded - Newest record of the ownership log; null for none. */
+  async create(recorded: OwnershipRecord | null = null): Promise<void> {
     const store = new PlatformStore();
     const {host, port} = await store.start();
     const log = new HttpKeyedLog(`${host}:${port}`);
+    if (recorded !== null) {
+      const earlier = new OwnershipLog(log, clock, logger);
+      await earlier.refresh();
+      await earlier.append(recorded);
+    }
     const [peerPort = 0] = await freePorts(1);
     this.peers = new PeerServer(logger);
     await this.peers.listen('127.0.0.1', peerPort);
@@ -129,6 +136,46 @@
   }
 }
 
+const recordOf = (vm: string, peerAddress: string): OwnershipRecord => ({
+  id: `${vm}-1`,
+  term: 0,
+  assigner: {vm, peerAddress, incarnation: 'earlier'},
+  revision: 0,
+  resigned: false,
+  ranges: [],
+});
+
+// Guards against a slow return after a loss of all VMs: the wait for the next record
+// came before the newest one was looked at.
+describe('a VM that starts', () => {
+  const MAX_WAIT_MS = 500;
+
+  it('is elected at once when the last assigner was its earlier process', async () => {
+    const elected = new ElectedCoordinator();
+    await elected.create(recordOf('vm-1', '127.0.0.1:9'));
+    const startedAtMs = performance.now();
+    await elected.elect();
+    const tookMs = performance.now() - startedAtMs;
+    await elected.close();
+    expect(tookMs).toBeLessThan(MAX_WAIT_MS);
+  });
+
+  it('connects at once to the assigner of the newest record', async () => {
+    const [port = 0] = await freePorts(1);
+    const assigner = new PeerServer(logger);
+    await assigner.listen('127.0.0.1', port);
+    const elected = new ElectedCoordinator();
+    await elected.create(recordOf('vm-2', `127.0.0.1:${port}`));
+    const startedAtMs = performance.now();
+    elected.coordinator.start();
+    await vi.waitFor(() => expect(assigner.linkCount).toBe(1), 2_000);
+    const tookMs = performance.now() - startedAtMs;
+    await elected.close();
+    assigner.close();
+    expect(tookMs).toBeLessThan(MAX_WAIT_MS);
+  });
+});
+
 const kindsOf = (messages: readonly GatewayMessage[]) =>
   messages.map(({kind}) => kind);
 
