--- a/packages/gateway/src/ownership/table-publisher.ts
+++ b/packages/gateway/src/ownership/table-publisher.ts
@@ -45,6 +45,8 @@
   #queued: Promise<boolean> | null = null;
   #appendedAtMs: number;
   #isSuperseded = false;
+  /** Whether a resignation was or may have been appended. */
+  #isResigning = false;
 
   /**
    * @param dependencies - Dependencies of the publisher.
@@ -142,12 +144,17 @@
    * @returns How the append ended.
    */
   async resign(): Promise<AppendResult> {
+    this.#isResigning = true;
     if (this.#appending !== null) await this.#appending;
-    return await this.#append(true);
+    const result = await this.#append(true);
+    if (result === 'refused') this.#isResigning = false;
+    return result;
   }
 
   async #append(resigned: boolean): Promise<AppendResult> {
-    if (this.#isSuperseded) return 'refused';
+    // A record after the resignation would hide it from the other VMs.
+    const isAfterResignation = this.#isResigning && !resigned;
+    if (this.#isSuperseded || isAfterResignation) return 'refused';
     const {log, clock, logger} = this.dependencies;
     this.#recordCount += 1;
     const answer = await log.append({
