Read the newest records of a log that was not read for 2 s

After 2 s without a read, followers read the newest record of each key. The new test failed before (the server was listed again).

--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -10,6 +10,11 @@
 /** Longest wait after a failed call. */
 const MAX_BACKOFF_MS = 1_000;
 
+/**
+ * Time since the last read after which the newest records are read instead of all
+ * later ones: old records describe what has changed since.
+ */
+const MAX_READ_GAP_MS = 2_000;
 /** Interval at which a follower checks whether a read is needed again. */
 const RECHECK_MS = 200;
 
@@ -58,7 +63,7 @@
 
   /**
    * Results of the reads. An image precedes the first records, and follows when
-   * the log does not keep the next offset any more.
+   * the log does not keep the next offset any more or was not read for some time.
    */
   get events(): Stream<FollowEvent> {
     return this.#channel.stream;
@@ -119,7 +124,7 @@
 
   /** Reads once; returns false when the log was not available. */
   async #readOnce(): Promise<boolean> {
-    if (this.#offset === null) {
+    if (this.#offset === null || this.ageMs > MAX_READ_GAP_MS) {
       const image = await this.log.newest(this.name);
       if (image.isErr) return this.#markLost(image.error.kind);
       this.#offset = image.value.endOffset;
--- a/packages/gateway/test/server-directory.test.ts
+++ b/packages/gateway/test/server-directory.test.ts
@@ -1,8 +1,9 @@
-import {PLATFORM_CODEC} from '@wisteriarun/platform';
+import {HttpKeyedLog, PLATFORM_CODEC} from '@wisteriarun/platform';
 import {createLogger, SystemClock} from '@wisteriarun/runtime';
+import {PlatformStore} from '@wisteriarun/standins';
 import {never} from 'most';
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import type {LogFollower} from '../src/store/log-follower.js';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {LogFollower} from '../src/store/log-follower.js';
 import {ServerDirectory} from '../src/store/server-directory.js';
 import {gatewayServer} from './fixtures.js';
 
@@ -61,3 +62,63 @@
     expect(directory.leaving).toEqual([]);
   });
 });
+
+// Guards against requests to servers that have left (DRAIN on trouble-1 of
+// ramcharan-desk-grown, small twin): a VM that had relied on its link read the log again
+// from where it had lost it. The old descriptions listed servers that were long gone, and
+// their removal was delayed because the log had just been regained.
+it('a server that is gone is not listed again by records from before its end', async () => {
+  const store = new PlatformStore();
+  const {host, port} = await store.start();
+  const log = new HttpKeyedLog(`${host}:${port}`);
+  const clock = new SystemClock();
+  const logger = createLogger({level: 'error', process: 'test', zone: 'a'});
+  let isLinked = false;
+  const follower = new LogFollower(
+    log,
+    'servers',
+    {waitMs: () => 0, pauseMs: () => 20, isNeeded: () => !isLinked},
+    clock,
+    logger,
+  );
+  const directory = new ServerDirectory(
+    follower,
+    PLATFORM_CODEC,
+    clock,
+    logger,
+  );
+  let sequence = 0;
+  const describeServer = () => {
+    sequence += 1;
+    const description = {
+      addr: '127.0.0.1:9',
+      born: 1_000,
+      info: {service: 'records', version: 'v1', zone: 'a', slots: 3},
+      status: {state: 'ready', seq: sequence},
+    };
+    store.put('keyed.servers', 'i-1', JSON.stringify(description));
+  };
+  describeServer();
+  follower.start();
+  await vi.waitFor(() => expect(directory.isLoaded).toBe(true));
+  store.fault = 'busy';
+  await vi.waitFor(() => expect(directory.isSettled).toBe(false));
+  // The assigner has read that the server is gone.
+  isLinked = true;
+  describeServer();
+  store.put('keyed.servers', 'i-1', '');
+  directory.adopt({kind: 'server-gone', id: 'i-1'});
+  await new Promise(resolve => setTimeout(resolve, 2_500));
+  const listed: string[] = [];
+  void directory.changes.stream.observe(change => {
+    if (change.kind === 'server') listed.push(change.server.id);
+  });
+  store.fault = 'none';
+  isLinked = false;
+  await vi.waitFor(() => expect(follower.ageMs).toBeLessThan(1_000), 3_000);
+  follower.close();
+  directory.close();
+  log.close();
+  await store.close();
+  expect(listed).toEqual([]);
+});
