Add review case 3: a restart known late frees the keys of a target at work

Cause: a grant is recorded with the start that the list of servers states, so that the hold of a later life is dropped when its start becomes known. Change: a script with stand-ins that shows it (rule OWNER); the scripts end with 2 when they can't run.

--- a/review/lib/harness.js
+++ b/review/lib/harness.js
@@ -189,6 +189,12 @@
   runs = [];
   fences = new Float64Array(KEY_COUNT);
   untilMs = new Float64Array(KEY_COUNT);
+  /** End of the last grant of each key; a release leaves it as it is. */
+  grantEndMs = new Float64Array(KEY_COUNT);
+  /** While true, what the target says of itself does not reach the store. */
+  isCutFromStore = false;
+  port = 0;
+  life = 0;
 
   constructor(
     scene,
@@ -207,9 +213,10 @@
       },
     );
     await new Promise(resolve => {
-      this.server.listen(0, HOST, resolve);
+      this.server.listen(this.port, HOST, resolve);
     });
-    this.address = `${HOST}:${this.server.address().port}`;
+    this.port = this.server.address().port;
+    this.address = `${HOST}:${this.port}`;
     this.beat();
     this.timer = setInterval(() => this.beat(), HEARTBEAT_MS);
   }
@@ -220,6 +227,24 @@
     this.server.closeAllConnections();
   }
 
+  /** Ends like a crash: all connections, work, keys and fences are gone. */
+  crash() {
+    this.close();
+    this.life += 1;
+    this.running = [];
+    this.waiting = [];
+    this.fences.fill(0);
+    this.untilMs.fill(0);
+    this.grantEndMs.fill(0);
+  }
+
+  /** Starts again under the same id, at the same address. */
+  async startAgain() {
+    this.bornMs = Date.now();
+    this.sequence = 0;
+    await this.start();
+  }
+
   /** What the target says of itself in the store. */
   description(state = 'ready') {
     this.sequence += 1;
@@ -237,6 +262,7 @@
   }
 
   beat() {
+    if (this.isCutFromStore) return;
     const text = JSON.stringify(this.description());
     this.scene.store.put('keyed.servers', this.id, text);
   }
@@ -286,7 +312,9 @@
     const run = {id: requestId, key, atMs: performance.now()};
     this.running.push(run);
     this.runs.push({...run, bytes: body.length});
+    const {life} = this;
     await wait(this.workMs);
+    if (this.life !== life) return;
     this.running.splice(this.running.indexOf(run), 1);
     this.waiting.shift()?.();
     const text = `answer of ${this.id} to ${requestId}\n`;
@@ -320,6 +348,8 @@
       const untilMs = arrivedAtMs + parseFloat(holdTime);
       this.fences.fill(fence, from, to + 1);
       this.untilMs.fill(untilMs, from, to + 1);
+      this.grantEndMs.fill(untilMs, from, to + 1);
+      this.scene.onGranted?.(this, from, to);
       if (isNew)
         recorder.note(`target ${this.id} takes ${range} for ${holdTime}`);
       return response
@@ -388,7 +418,7 @@
 /** Sends one request on a new or given connection; never rejects. */
 export function send(
   port,
-  {method = 'GET', path = '/', headers = {}, body, agent = false},
+  {method = 'GET', path = '/', headers = {}, body, agent = false, deadlineMs},
 ) {
   return new Promise(resolve => {
     const sent = httpRequest(
@@ -409,6 +439,15 @@
         answer.on('end', () => finish(isAborted ? 'broken-off' : 'complete'));
       },
     );
+    // A client that has waited for as long as it will leaves.
+    const timer =
+      deadlineMs === undefined
+        ? undefined
+        : setTimeout(() => {
+            resolve({outcome: 'gave-up', status: 0, body: Buffer.alloc(0)});
+            sent.destroy();
+          }, deadlineMs);
+    sent.on('close', () => clearTimeout(timer));
     sent.on('error', error =>
       resolve({
         outcome: 'no-answer',
@@ -546,8 +585,8 @@
       }
       throw new Error(`gateway ${name} is not ready within 10 s`);
     };
-    await gateway.start();
     this.gateways.push(gateway);
+    await gateway.start();
     return gateway;
   }
 
@@ -575,6 +614,13 @@
 export async function runCase(folder, play) {
   const scene = new Scene(folder);
   let code = 2;
+  const giveUp = error => {
+    scene.note(`RESULT: the case could not run: ${error?.stack ?? error}`);
+    for (const {child} of scene.gateways) child.kill('SIGKILL');
+    process.exit(2);
+  };
+  process.on('uncaughtException', giveUp);
+  process.on('SIGTERM', () => giveUp('it took too long'));
   try {
     await scene.start();
     const broken = await play(scene);
