--- a/review/lib/harness.js
+++ b/review/lib/harness.js
@@ -100,7 +100,13 @@
 
   put(name, key, value) {
     const topic = this.topic(name);
-    topic.records.push({key, value: Buffer.from(value)});
+    // The key may be bytes that are no text.
+    const keyBytes = Buffer.from(key);
+    topic.records.push({
+      key: keyBytes.toString(),
+      keyBytes,
+      value: Buffer.from(value),
+    });
     for (const wake of [...topic.waiting]) wake();
   }
 
@@ -128,7 +134,7 @@
         const length = body.readUInt32BE(at);
         const content = body.subarray(at + 4, at + 4 + length);
         const keyEnd = 1 + content.readUInt8(0);
-        const key = content.toString('utf8', 1, keyEnd);
+        const key = content.subarray(1, keyEnd);
         this.put(url.searchParams.get('topic'), key, content.subarray(keyEnd));
         at += 4 + length;
       }
@@ -150,8 +156,7 @@
       }
       const head = Buffer.alloc(16);
       head.writeBigUInt64BE(BigInt(topic.records.length), 0);
-      const frames = topic.records.slice(from).map(({key, value}) => {
-        const keyBytes = Buffer.from(key);
+      const frames = topic.records.slice(from).map(({keyBytes, value}) => {
         const prefix = Buffer.alloc(5);
         prefix.writeUInt32BE(1 + keyBytes.length + value.length, 0);
         prefix.writeUInt8(keyBytes.length, 4);
