Log why and for how long a log was lost, slow reads, and late sends

The incident's logs say only cause=log-unavailable for a lost log: a timeout, a refusal and a reset look alike, and nothing tells how long a large record took or that a request went to a server after its time. log-lost states its cause and duration, log-regained the loss and the failed reads, log-read-slow the size and duration of a read, bundle-adopted the offset, and a request that is sent to a server that has been draining for too long is logged as sent-late. No decision changes.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -128,6 +128,7 @@
    * @param sink - Receives an answer that is too large to be buffered.
    * @param onServerLeaving - Called when an answer says that the server is
    * leaving, before any of the answer is passed on.
+   * @param onSend - Called when the request is about to be written to a connection.
    */
   constructor(
     dispatcher: Dispatcher,
@@ -135,6 +136,7 @@
     private readonly headerNames: GatewayHeaders,
     private readonly sink: AnswerSink,
     private readonly onServerLeaving: () => void = () => {},
+    private readonly onSend: () => void = () => {},
   ) {
     this.outcome = new Promise(resolve => (this.#resolveOutcome = resolve));
     this.#timer = new AnswerTimer(request.timeoutMs, () =>
@@ -193,6 +195,7 @@
       return;
     }
     this.#controller = controller;
+    this.onSend();
     // undici reports the socket right after this method returns, in the same
     // synchronous call.
     listenForNextSocket(this);
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -293,6 +293,7 @@
       headerNames,
       exchange,
       () => reportLeaving(server),
+      () => this.#logLateSend(server, startedAtMs),
     );
     context.lastAttempt = attempt;
     this.#runningAttempts.add(attempt);
@@ -329,6 +330,14 @@
     return outcome;
   }
 
+  /** Logs a request that is sent to a server that should get no more of them. */
+  #logLateSend({id}: GatewayServer, chosenAtMs: number): void {
+    const {clock, serverSelector, log} = this.dependencies;
+    if (!serverSelector.isWithdrawn(id)) return;
+    const waitedMs = Math.round(clock.monotonicMs() - chosenAtMs);
+    log.write(() => ({outcome: 'sent-late', server: id, waited_ms: waitedMs}));
+  }
+
   /** Answers the caller, or returns true to retry the request. */
   async #settleOrRetry(
     context: RequestContext,
--- a/packages/gateway/src/entry/server-selector.ts
+++ b/packages/gateway/src/entry/server-selector.ts
@@ -108,6 +108,17 @@
       : this.#selectOwner(input, input.key, nowMs);
   }
 
+  /**
+   * Tells whether a server may get no more requests, since it has been draining for too
+   * long.
+   *
+   * @param id - Id of the server.
+   * @returns True also for a request that was chosen for it earlier.
+   */
+  isWithdrawn(id: string): boolean {
+    return this.directory.drainingMs(id) > this.drainingOwnerMs;
+  }
+
   #selectOwner(input: SelectionInput, key: number, nowMs: number): Selection {
     const range = this.owners.find(input.service.name, key);
     if (range?.moving) {
@@ -120,10 +131,7 @@
       range?.server === null || range?.server === undefined
         ? null
         : this.directory.registry.find(range.server);
-    const isDrainTimeOver =
-      owner !== null &&
-      this.directory.drainingMs(owner.id) > this.drainingOwnerMs;
-    if (owner === null || isDrainTimeOver) {
+    if (owner === null || this.isWithdrawn(owner.id)) {
       return refuse('no-owner', NO_SERVER_RETRY_AFTER_MS, {
         server: range?.server,
         listed: owner !== null,
--- a/packages/gateway/src/store/bundle-holder.ts
+++ b/packages/gateway/src/store/bundle-holder.ts
@@ -89,7 +89,7 @@
   #apply(event: FollowEvent): void {
     // An image holds the newest record of every key, `records` the later ones.
     if (event.kind !== 'image' && event.kind !== 'records') return;
-    for (const {key, value} of event.records) {
+    for (const {key, value, offset} of event.records) {
       // Deleting the record does not withdraw the bundle in force.
       if (value === null) continue;
       const decoded = this.codec.bundle(key, value);
@@ -99,12 +99,12 @@
         });
       } else if (decoded.value !== null) {
         // Null stands for a record that holds no bundle.
-        this.#adopt(decoded.value);
+        this.#adopt(decoded.value, offset);
       }
     }
   }
 
-  #adopt(bundle: GatewayBundle): void {
+  #adopt(bundle: GatewayBundle, offset: number): void {
     if (this.#bundle !== null && bundle.version <= this.#bundle.version) return;
     this.#bundle = bundle;
     this.#routes = new RouteIndex(bundle);
@@ -117,6 +117,7 @@
     }
     this.logger.info('bundle-adopted', {
       version: bundle.version,
+      offset,
       routes: bundle.routes.length,
       services: bundle.services.length,
     });
--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -1,5 +1,11 @@
 /** Reads a log of the platform continuously, from its newest records on. */
-import type {KeyedLog, KeyedRecord, LogName} from '@wisteriarun/core';
+import {describeError} from '@wisteriarun/core';
+import type {
+  KeyedLog,
+  KeyedRecord,
+  LogName,
+  WisteriarunError,
+} from '@wisteriarun/core';
 import {Channel} from '@wisteriarun/runtime';
 import type {Clock, Logger} from '@wisteriarun/runtime';
 import type {Stream} from 'most';
@@ -17,6 +23,9 @@
 const MAX_READ_GAP_MS = 2_000;
 /** Interval at which a follower checks whether a read is needed again. */
 const RECHECK_MS = 200;
+/** Time beyond the wait for a record from which a read is logged as slow. */
+const SLOW_READ_MS = 300;
+const BYTES_PER_KB = 1_024;
 
 /** When a log is read. */
 export interface ReadSchedule {
@@ -43,7 +52,9 @@
   readonly #channel = new Channel<FollowEvent>();
   #offset: number | null = null;
   #isClosed = false;
-  #isLost = false;
+  /** Time of the first of consecutive failed reads; null after a success. */
+  #lostAtMs: number | null = null;
+  #failedReads = 0;
   #answeredAtMs: number | null = null;
 
   /**
@@ -124,22 +135,22 @@
 
   /** Reads once; returns false when the log was not available. */
   async #readOnce(): Promise<boolean> {
+    const startedAtMs = this.clock.monotonicMs();
     if (this.#offset === null || this.ageMs > MAX_READ_GAP_MS) {
       const image = await this.log.newest(this.name);
-      if (image.isErr) return this.#markLost(image.error.kind);
+      if (image.isErr) return this.#markLost(image.error, startedAtMs);
       this.#offset = image.value.endOffset;
       this.#markRegained();
-      this.#channel.emit({kind: 'image', records: image.value.records});
+      const {records} = image.value;
+      this.#logSlowRead('image', records, startedAtMs, 0);
+      this.#channel.emit({kind: 'image', records});
       return true;
     }
-    const batch = await this.log.read(
-      this.name,
-      this.#offset,
-      this.schedule.waitMs(),
-    );
+    const waitMs = this.schedule.waitMs();
+    const batch = await this.log.read(this.name, this.#offset, waitMs);
     if (batch.isErr) {
       if (batch.error.kind !== 'log-expired') {
-        return this.#markLost(batch.error.kind);
+        return this.#markLost(batch.error, startedAtMs);
       }
       this.logger.info('log-expired', {log: this.name, offset: this.#offset});
       this.#offset = null;
@@ -152,25 +163,58 @@
     const records = batch.value.records.filter(
       ({offset}) => offset >= adoptedOffset,
     );
+    this.#logSlowRead('records', batch.value.records, startedAtMs, waitMs);
     if (records.length > 0) this.#channel.emit({kind: 'records', records});
     return true;
   }
 
   /** Reports the loss once; returns false as the result of the failed read. */
-  #markLost(cause: string): false {
-    if (!this.#isLost) {
-      this.#isLost = true;
-      this.logger.warn('log-lost', {log: this.name, cause});
+  #markLost(error: WisteriarunError, startedAtMs: number): false {
+    this.#failedReads += 1;
+    if (this.#lostAtMs === null) {
+      this.#lostAtMs = startedAtMs;
+      this.logger.warn('log-lost', {
+        log: this.name,
+        cause: describeError(error),
+        took_ms: Math.round(this.clock.monotonicMs() - startedAtMs),
+      });
       this.#channel.emit({kind: 'lost'});
     }
     return false;
   }
 
   #markRegained(): void {
-    this.#answeredAtMs = this.clock.monotonicMs();
-    if (!this.#isLost) return;
-    this.#isLost = false;
-    this.logger.info('log-regained', {log: this.name});
+    const nowMs = this.clock.monotonicMs();
+    this.#answeredAtMs = nowMs;
+    if (this.#lostAtMs === null) return;
+    this.logger.info('log-regained', {
+      log: this.name,
+      lost_ms: Math.round(nowMs - this.#lostAtMs),
+      failed_reads: this.#failedReads,
+    });
+    this.#lostAtMs = null;
+    this.#failedReads = 0;
     this.#channel.emit({kind: 'regained'});
   }
+
+  #logSlowRead(
+    kind: 'image' | 'records',
+    records: readonly KeyedRecord[],
+    startedAtMs: number,
+    waitMs: number,
+  ): void {
+    const tookMs = this.clock.monotonicMs() - startedAtMs;
+    if (tookMs - waitMs < SLOW_READ_MS) return;
+    const bytes = records.reduce(
+      (sum, {value}) => sum + (value?.length ?? 0),
+      0,
+    );
+    this.logger.info('log-read-slow', {
+      log: this.name,
+      kind,
+      took_ms: Math.round(tookMs),
+      records: records.length,
+      kb: Math.round(bytes / BYTES_PER_KB),
+    });
+  }
 }
