--- a/packages/gateway/test/bundle-follow.test.ts
+++ b/packages/gateway/test/bundle-follow.test.ts
@@ -1,3 +1,4 @@
+import {SlowLink} from '@wisteriarun/standins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {GatewayHarness, resources} from './harness.js';
 
@@ -69,3 +70,45 @@
     expect(performance.now() - publishedAtMs).toBeLessThan(MAX_BUNDLE_DELAY_MS);
   });
 });
+
+// Guards against VMs that go on with an old bundle because their link to the store is too
+// slow for a whole one: of each large bundle every VM read all bytes, of the first to the
+// last, within the timeout of a call.
+describe('a change of a large bundle', () => {
+  /** About 340 KB. */
+  const ROUTE_COUNT = 1_500;
+  const BYTES_PER_S = 150_000;
+
+  function largeBundle(): object[] {
+    const [first] = resources() as {spec: object}[];
+    const added = Array.from({length: ROUTE_COUNT}, (_, index) => ({
+      ...first!,
+      metadata: {name: `r-many-${index}`},
+      spec: {...first!.spec, path_prefix: `/many/${index}/`},
+    }));
+    return [...withNewRoute().slice(0, -1), ...added];
+  }
+
+  it('is in force within 2 s at a VM whose link to the store is slow', async () => {
+    const harness = new GatewayHarness();
+    await harness.start();
+    harness.publish(largeBundle());
+    await harness.addServer('records', {id: 'i-1'});
+    await harness.addGateway('vm-1');
+    const link = await SlowLink.open(harness.storeAddress, {
+      bytesPerS: BYTES_PER_S,
+    });
+    await harness.addGateway('vm-2', 4, link.address);
+    const isAdopted = async (gateway: number) => {
+      const answer = await harness.call('GET', NEW_PATH, {key: 1, gateway});
+      return answer.status === 200;
+    };
+    harness.publish([...largeBundle(), withNewRoute().at(-1)!]);
+    const publishedAtMs = performance.now();
+    await harness.until(async () => (await isAdopted(0)) && isAdopted(1));
+    const tookMs = performance.now() - publishedAtMs;
+    link.close();
+    await harness.close();
+    expect(tookMs).toBeLessThan(MAX_BUNDLE_DELAY_MS);
+  });
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -21,6 +21,8 @@
 const RESTART_INTERVAL_MS = 100_000;
 const READY_TIMEOUT_MS = 10_000;
 const HOST = 'court.example';
+/** Slots of a server whose options state none; see `PlatformBackendServerOptions`. */
+const DEFAULT_SLOTS = 3;
 
 /**
  * Builds the resources of a bundle with one keyed service and one without keys.
@@ -97,9 +99,10 @@
     readinessCheckAddress: string;
     metricsAddress: string;
   }[] = [];
+  /** Address of the store, host:port; empty before `start`. */
+  storeAddress = '';
   /** Ports of each VM; a restarted gateway uses the same ones. */
   readonly #ports = new Map<string, number[]>();
-  #storeAddress = '';
   /** Ids of the servers that do not renew their descriptions. */
   readonly #silentIds = new Set<string>();
   #heartbeatTimer: NodeJS.Timeout | null = null;
@@ -108,7 +111,7 @@
   /** Starts the store with a first bundle. */
   async start(): Promise<void> {
     const {host, port} = await this.store.start();
-    this.#storeAddress = `${host}:${port}`;
+    this.storeAddress = `${host}:${port}`;
     this.publish(resources());
     this.#heartbeatTimer = setInterval(
       () => this.#renewDescriptions(),
@@ -211,14 +214,22 @@
   }
 
   /** Starts a gateway and waits until it is ready and serves keys. */
-  async addGateway(vm: string, graceS = 4): Promise<void> {
-    const {gateway, requestAddress} = await this.startGateway(vm, graceS);
+  async addGateway(
+    vm: string,
+    graceS = 4,
+    storeAddress = this.storeAddress,
+  ): Promise<void> {
+    const {gateway, requestAddress} = await this.startGateway(
+      vm,
+      graceS,
+      storeAddress,
+    );
     await this.until(() => gateway.isReady);
     await this.until(() => this.#canServeKeys(requestAddress));
   }
 
   /** Starts a gateway without waiting until it is ready. */
-  async startGateway(vm: string, graceS = 4) {
+  async startGateway(vm: string, graceS = 4, storeAddress = this.storeAddress) {
     const ports = this.#ports.get(vm) ?? (await freePorts(4));
     this.#ports.set(vm, ports);
     const settings = parseGatewaySettings(
@@ -227,7 +238,7 @@
         `[listen]\ncallers=127.0.0.1:${ports[0]}`,
         `readiness=127.0.0.1:${ports[1]}`,
         `peer_port=${ports[2]}\nmetrics_port=${ports[3]}`,
-        `[store]\naddress=${this.#storeAddress}`,
+        `[store]\naddress=${storeAddress}`,
         // `Gateway.stop` ends within this time.
         `[bounds]\ngrace=${graceS}s`,
       ].join('\n'),
@@ -337,10 +348,11 @@
   /** Writes to `keyed.servers`, the topic of the log of servers. */
   #publishDescription(standIn: HarnessServer): void {
     standIn.sequence += 1;
+    const {slots = DEFAULT_SLOTS} = standIn.options;
     const description = {
       addr: standIn.address,
       born: this.bornMs(standIn.id),
-      info: {service: standIn.service, version: 'v1', zone: 'a', slots: 3},
+      info: {service: standIn.service, version: 'v1', zone: 'a', slots},
       status: {state: standIn.state, seq: standIn.sequence, warmup_left: '0ms'},
     };
     this.store.put('keyed.servers', standIn.id, JSON.stringify(description));
--- a/testing/standins/src/index.ts
+++ b/testing/standins/src/index.ts
@@ -16,6 +16,7 @@
 export * from './platform/backend-server.js';
 export * from './platform/store.js';
 export * from './records.js';
+export * from './slow-link.js';
 export * from './vm-list.js';
 export {type Address, type ListenOptions} from './utils/http-endpoint.js';
 export {seededRandom, type Random} from './utils/random.js';
