Let an answer of the store take as long as its bytes arrive

What callers saw (CONFIG): 404 for a route that had been added, from a VM that had an older bundle for seconds. Cause: a call to the store had 1.2 s for its whole answer (plus the wait of a long poll). A bundle of 2,000 routes is 500 KB, as base64 in log-newest 700 KB; a link of 7 Mbit/s that also carries requests needs longer. The call was cancelled and began again with the first byte, so that such a VM never got ahead. A connection that falls silent still ends the call after 1.2 s.

--- a/packages/runtime/src/answer-timer.ts
+++ b/packages/runtime/src/answer-timer.ts
@@ -8,19 +8,29 @@
  * been handled.
  */
 export class AnswerTimer {
-  readonly #timer: NodeJS.Timeout;
+  #timer: NodeJS.Timeout;
   #isClosed = false;
 
   /**
    * @param limitMs - Longest time to wait for the answer.
    * @param onExpired - Called when the timer expires before it is closed.
    */
-  constructor(limitMs: number, onExpired: () => void) {
-    this.#timer = setTimeout(() => {
-      void waitForPendingEvents().then(() => {
-        if (!this.#isClosed) onExpired();
-      });
-    }, limitMs);
+  constructor(
+    limitMs: number,
+    private readonly onExpired: () => void,
+  ) {
+    this.#timer = this.#start(limitMs);
+  }
+
+  /**
+   * Waits anew, for example because a part of the answer has arrived.
+   *
+   * @param limitMs - Longest time to wait from now on.
+   */
+  restart(limitMs: number): void {
+    if (this.#isClosed) return;
+    clearTimeout(this.#timer);
+    this.#timer = this.#start(limitMs);
   }
 
   /** Stops the timer, for example because the answer has arrived. */
@@ -28,4 +38,14 @@
     this.#isClosed = true;
     clearTimeout(this.#timer);
   }
+
+  #start(limitMs: number): NodeJS.Timeout {
+    const timer = setTimeout(() => {
+      void waitForPendingEvents().then(() => {
+        // The pending events may have closed or restarted the timer.
+        if (!this.#isClosed && this.#timer === timer) this.onExpired();
+      });
+    }, limitMs);
+    return timer;
+  }
 }
