Check again that a server may get a request when it is written to a connection

What callers saw (DRAIN): a filing ran at a server 74 and 252 ms after the time at which it had to be left alone; the filings had been in the VM for 0.98 and 1.93 s. Cause: whether a draining server may still get a request was checked when the server was chosen. Until the request was written it waited for a connection, in undici's queue or for a loaded event loop, without a bound. Now undici's last call before the first byte asks again. In the logs such an attempt is not-run:withdrawn.

--- a/packages/ctl/src/request-explanation.ts
+++ b/packages/ctl/src/request-explanation.ts
@@ -42,6 +42,8 @@
   misdirected:
     'the server did not hold the key, and no other owner was known in time',
   'not-sent': 'no connection to the server; the request was never sent',
+  withdrawn:
+    'the server had been draining for too long when a connection was free; the request was never sent',
   paused:
     'the server had asked this VM for a pause with a refusal; refused before it was sent',
   refused: 'the server was full and stated that it did not run the request',
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -69,7 +69,13 @@
   | {
       /** The request did not run at the server and will not run there. */
       readonly kind: 'not-run';
-      readonly cause: 'not-sent' | 'refused' | 'misdirected' | 'invalid';
+      readonly cause:
+        | 'not-sent'
+        /** Not sent, since the server may get no more requests. */
+        | 'withdrawn'
+        | 'refused'
+        | 'misdirected'
+        | 'invalid';
       readonly load: ReportedLoad | null;
       /** Time for which the server wants no requests; null if it states none. */
       readonly pauseMs: number | null;
@@ -89,13 +95,10 @@
   | 'timeout'
   | 'caller-gone';
 
-/** Outcome of an attempt that got no connection. */
-const NOT_SENT: AttemptOutcome = {
-  kind: 'not-run',
-  cause: 'not-sent',
-  load: null,
-  pauseMs: null,
-};
+/** Outcome of an attempt that was not written to any connection. */
+function unsent(cause: 'not-sent' | 'withdrawn'): AttemptOutcome {
+  return {kind: 'not-run', cause, load: null, pauseMs: null};
+}
 
 /** Reason that is given to undici when an attempt aborts its request. */
 class AttemptAborted extends Error {}
@@ -128,7 +131,8 @@
    * @param sink - Receives an answer that is too large to be buffered.
    * @param onServerLeaving - Called when an answer says that the server is
    * leaving, before any of the answer is passed on.
-   * @param onSend - Called when the request is about to be written to a connection.
+   * @param maySend - Whether the server may still get the request; asked when it is
+   * about to be written to a connection.
    */
   constructor(
     dispatcher: Dispatcher,
@@ -136,7 +140,7 @@
     private readonly headerNames: GatewayHeaders,
     private readonly sink: AnswerSink,
     private readonly onServerLeaving: () => void = () => {},
-    private readonly onSend: () => void = () => {},
+    private readonly maySend: () => boolean = () => true,
   ) {
     this.outcome = new Promise(resolve => (this.#resolveOutcome = resolve));
     this.#timer = new AnswerTimer(request.timeoutMs, () =>
@@ -170,12 +174,19 @@
     if (this.#isSettled) return;
     this.#isCancelled = true;
     if (this.#controller === null) {
-      this.#finish(NOT_SENT);
+      this.#finish(unsent('not-sent'));
       return;
     }
     this.#breakOff(cause);
   }
 
+  /** Ends an attempt that still waits for a connection, and may not be sent any more. */
+  withdraw(): void {
+    if (this.#isSettled || this.isSent) return;
+    this.#isCancelled = true;
+    this.#finish(unsent('withdrawn'));
+  }
+
   /**
    * Closes the connection of an attempt that has ended. Call it before the same
    * request is sent to the same server again: a late copy of the refusal would
@@ -194,8 +205,12 @@
       controller.abort(new AttemptAborted('cancelled before it was sent'));
       return;
     }
+    if (!this.maySend()) {
+      controller.abort(new AttemptAborted('withdrawn before it was sent'));
+      this.#finish(unsent('withdrawn'));
+      return;
+    }
     this.#controller = controller;
-    this.onSend();
     // undici reports the socket right after this method returns, in the same
     // synchronous call.
     listenForNextSocket(this);
@@ -293,7 +308,7 @@
   onResponseError(): void {
     if (this.#isSettled) return;
     if (this.#controller === null) {
-      this.#finish(NOT_SENT);
+      this.#finish(unsent('not-sent'));
       return;
     }
     this.#fail('connection-lost');
--- a/packages/gateway/src/entry/request-handler.ts
+++ b/packages/gateway/src/entry/request-handler.ts
@@ -83,7 +83,8 @@
 export class RequestHandler {
   /** Retry budgets; the gateway sets their limits. */
   readonly budgets = new RetryBudgets();
-  readonly #runningAttempts = new Set<Attempt>();
+  /** Attempts that have not ended, with the ids of their servers. */
+  readonly #runningAttempts = new Map<Attempt, string>();
 
   /**
    * @param dependencies - Dependencies of the handler.
@@ -148,11 +149,24 @@
    * @returns Number of the attempts.
    */
   breakOffAll(): number {
-    const attempts = [...this.#runningAttempts];
+    const attempts = [...this.#runningAttempts.keys()];
     for (const attempt of attempts) attempt.cancel('timeout');
     return attempts.length;
   }
 
+  /**
+   * Chooses other servers for the requests that wait for a connection to a server that
+   * may get no more of them.
+   */
+  withdrawUnsent(): void {
+    const {serverSelector} = this.dependencies;
+    for (const [attempt, server] of this.#runningAttempts) {
+      if (!attempt.isSent && serverSelector.isWithdrawn(server)) {
+        attempt.withdraw();
+      }
+    }
+  }
+
   /**
    * Abandons a request whose caller has left. After a stall of the event loop,
    * the closing of a connection is seen only in a later turn of the loop.
@@ -293,10 +307,10 @@
       headerNames,
       exchange,
       () => reportLeaving(server),
-      () => this.#logLateSend(server, startedAtMs),
+      () => !this.dependencies.serverSelector.isWithdrawn(server.id),
     );
     context.lastAttempt = attempt;
-    this.#runningAttempts.add(attempt);
+    this.#runningAttempts.set(attempt, server.id);
     exchange.onCallerGone = () => {
       // A request that is not safe to repeat runs to its end once it is sent.
       if (isIdempotent(route.kind) || !attempt.isSent) {
@@ -330,14 +344,6 @@
     return outcome;
   }
 
-  /** Logs a request that is sent to a server that should get no more of them. */
-  #logLateSend({id}: GatewayServer, chosenAtMs: number): void {
-    const {clock, serverSelector, log} = this.dependencies;
-    if (!serverSelector.isWithdrawn(id)) return;
-    const waitedMs = Math.round(clock.monotonicMs() - chosenAtMs);
-    log.write(() => ({outcome: 'sent-late', server: id, waited_ms: waitedMs}));
-  }
-
   /** Answers the caller, or returns true to retry the request. */
   async #settleOrRetry(
     context: RequestContext,
@@ -412,13 +418,14 @@
     context.triedServers.add(server);
     // A request that was never sent counts neither as an attempt nor against the
     // retry budget.
-    const wasNeverSent = cause === 'not-sent';
+    const wasNeverSent = cause === 'not-sent' || cause === 'withdrawn';
     if (wasNeverSent) context.sendCount -= 1;
     if (!exchange.canSendAgain || !(wasNeverSent || this.#mayRetry(context))) {
       exchange.refuse(cause, NOT_RUN_RETRY_MS);
       return false;
     }
-    if (context.key === null) return true;
+    // Keys of a server that is withdrawn get another owner.
+    if (context.key === null || cause === 'withdrawn') return true;
     context.lastAttempt?.closeConnection();
     if (cause === 'misdirected') {
       const range = owners.find(context.serviceName, context.key);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -400,7 +400,8 @@
 
   /**
    * Sends the load report. At the same interval it also updates the retry limits,
-   * which depend on the number of VMs, and closes unused connections to servers.
+   * which depend on the number of VMs, closes unused connections to servers, and
+   * withdraws requests from servers that have been draining for too long.
    */
   #reportLoad(): void {
     const {retryRatio, retrySlack} = this.settings;
@@ -411,6 +412,7 @@
       (retrySlack * RETRY_BUDGET_SHARE) / vmCount,
     );
     this.#pool.closeUnused(nowMs);
+    this.#handler.withdrawUnsent();
     if (nowMs < this.#nextReportAtMs) return;
     this.#nextReportAtMs = nowMs + reportIntervalMs(vmCount);
     const report = this.#loadMeter.takeReport();
