Send the delta of a new bundle over the links instead of reading it whole

What callers saw (CONFIG): 404 for added routes, and routes of an old bundle, 4 to 5 s after the store had acknowledged the new one, at one VM of 81. Over a link of 7 Mbit/s that also carries requests, and at a fifth of a core, one version takes longer than the time to the next. The class of fault: work for every VM that grows with the size of the configuration instead of its change. Now the assigner sends what a version changes in the one before, if that fits in 2 MB on all links; a VM that lacks the version before keeps the delta until it has it. Of several records that are read at once only the newest is decoded.

--- a/packages/core/src/core/range/index.ts
+++ b/packages/core/src/core/range/index.ts
@@ -1,5 +1,6 @@
 /** Routing, key ranges and server load of the gateway. */
 export * from './admission.js';
+export * from './bundle-delta.js';
 export * from './election-delay.js';
 export * from './hold-ledger.js';
 export * from './key-load-map.js';
--- a/packages/core/src/types/gateway-ports.ts
+++ b/packages/core/src/types/gateway-ports.ts
@@ -1,7 +1,8 @@
 /** Interfaces between the gateway and the platform. */
 import type {Result} from 'true-myth';
 import type {WisteriarunError} from './errors.js';
-import type {GatewayBundle, GatewayServer, ReportedLoad} from './gateway.js';
+import type {GatewayServer, ReportedLoad} from './gateway.js';
+import type {GatewayBundle} from './gateway-bundle.js';
 
 /** Logs of the platform that the gateway reads. */
 export type LogName = 'bundles' | 'servers' | 'ownership';
--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -1,5 +1,6 @@
 /** Routing data of a gateway: bundles, servers and owners of key ranges. */
 import * as z from 'zod';
+import {bundleDeltaSchema} from './gateway-bundle.js';
 import {crashRecordSchema} from './peer-messages.js';
 
 /**
@@ -15,78 +16,6 @@
  */
 export const FENCES_PER_TERM = 2 ** 20;
 
-/**
- * Kind of a request, which decides whether it may be repeated: `safe` requests
- * and `download`s, which have large answers, may run more than once; `unsafe`
- * requests and `upload`s, which have large bodies, at most once.
- */
-export type RequestKind = 'safe' | 'download' | 'unsafe' | 'upload';
-
-/**
- * Tells whether requests of a kind may run more than once.
- *
- * @param kind - Kind of the request.
- * @returns True for kinds that are idempotent.
- */
-export function isIdempotent(kind: RequestKind): boolean {
-  return kind === 'safe' || kind === 'download';
-}
-
-/** Service that gets a weighted part of a route's requests. */
-export interface RoutePart {
-  readonly service: string;
-  readonly weight: number;
-}
-
-/** A rule that sends requests of a host and path prefix to services. */
-export interface GatewayRoute {
-  readonly name: string;
-  readonly host: string;
-  readonly pathPrefix: string;
-  readonly kind: RequestKind;
-  /** Longest time until a caller gets an answer. */
-  readonly timeoutMs: number;
-  /** Time to the answer above which a request counts as late. */
-  readonly objectiveMs: number;
-  /** Rank of the requests; 0 is the highest. */
-  readonly priority: number;
-  /** How often a request is sent at most, the first time included. */
-  readonly maxAttempts: number;
-  readonly parts: readonly RoutePart[];
-}
-
-/** Properties common to all servers of a service. */
-export interface GatewayService {
-  readonly name: string;
-  /** Connections that one server accepts from all VMs together. */
-  readonly maxConnections: number;
-  /** Whether each key is owned by one server. */
-  readonly isKeyed: boolean;
-  /**
-   * Time for which a moved key is slow when its new owner did not get the
-   * handover token, which the former owner returned when it released the key.
-   */
-  readonly warmMs: number;
-}
-
-/** Limits on the size and pace of what a caller may send. */
-export interface CallerLimits {
-  readonly maxHeaderBytes: number;
-  readonly maxBodyBytes: number;
-  readonly headerTimeoutMs: number;
-  readonly idleTimeoutMs: number;
-}
-
-/** One complete version of the configuration. */
-export interface GatewayBundle {
-  readonly version: number;
-  readonly routes: readonly GatewayRoute[];
-  readonly services: readonly GatewayService[];
-  readonly limits: CallerLimits;
-  /** What the decoder did not know and read in the safest way, for the log. */
-  readonly warnings: readonly string[];
-}
-
 /** Load that a server reported with an answer, in requests. */
 export interface ReportedLoad {
   readonly running: number;
@@ -217,8 +146,8 @@
      * assigner sends all servers.
      */
     serversOffset: z.int().optional(),
-    /** Whether the VM understands messages of kind `bundle`. */
-    takesBundles: z.boolean().optional(),
+    /** Whether the VM understands messages of kind `bundle-delta`. */
+    takesBundleDeltas: z.boolean().optional(),
   }),
   /** Load that a VM measured since its last report, for the assigner. */
   z.object({
@@ -242,13 +171,8 @@
     /** Offset up to which it has read the log of bundles. */
     bundlesOffset: z.int(),
   }),
-  /** A record of the log of bundles that the assigner has read. */
-  z.object({
-    kind: z.literal('bundle'),
-    key: z.string(),
-    value: z.custom<Uint8Array>(value => value instanceof Uint8Array),
-    offset: z.int().min(0),
-  }),
+  /** What a new bundle, which the assigner has read, changes in the one before. */
+  z.object({kind: z.literal('bundle-delta'), delta: bundleDeltaSchema}),
   /** Servers that the assigner knows. */
   z.object({
     kind: z.literal('servers'),
--- a/packages/core/src/types/index.ts
+++ b/packages/core/src/types/index.ts
@@ -9,5 +9,6 @@
 export * from './state.js';
 export * from './timing.js';
 export * from './gateway.js';
+export * from './gateway-bundle.js';
 export * from './gateway-ports.js';
 export * from './gateway-state.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -154,12 +154,6 @@
       clock,
       logger,
     );
-    // Before the bundles are adopted, which announces their offset to the other VMs.
-    void this.#bundleFollower.events.observe(event => {
-      if (event.kind === 'records') {
-        this.#coordinator.shareBundles(event.records);
-      }
-    });
     this.#bundles = new BundleHolder(this.#bundleFollower, codec, logger);
     this.#directory = new ServerDirectory(
       this.#serverFollower,
@@ -189,7 +183,6 @@
       }),
       zone: settings.vm.zone,
       strength: settings.strength,
-      adoptBundle: record => this.#bundleFollower.adopt(record),
       serversOffset: () => this.#serverFollower.offset ?? undefined,
       peerAddress: `${settings.vm.host}:${settings.peerPort}`,
     });
@@ -237,9 +230,10 @@
         this.#crashWatch.handleServerChange(change, clock.monotonicMs()),
       ),
     );
-    void this.#bundles.changes.stream.observe(({limits}) =>
-      this.#callerIngress.setLimits(limits),
-    );
+    void this.#bundles.changes.stream.observe(({bundle, offset}) => {
+      this.#callerIngress.setLimits(bundle.limits);
+      this.#bundleFollower.skipTo(offset + 1);
+    });
   }
 
   /** Whether the load balancer should send new connections. */
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -1,17 +1,17 @@
 /** Takes part in the election of the assigner; assigns or follows it. */
 import {randomUUID} from 'node:crypto';
-import {electionDelayMs} from '@wisteriarun/core';
+import {bundleDelta, electionDelayMs} from '@wisteriarun/core';
 import type {
   AssignerContact,
   CrashRecord,
   GatewayMessage,
   GatewayServer,
-  KeyedRecord,
   OwnershipRecord,
   OwnershipView,
   VmStrength,
 } from '@wisteriarun/core';
 import type {CrashWatch} from '../entry/crash-watch.js';
+import type {BundleAdoption} from '../store/bundle-holder.js';
 import {delay} from '../utils/delay.js';
 import {Assigner} from './assigner.js';
 import type {AssignerDependencies, LogReadProgress} from './assigner.js';
@@ -37,13 +37,8 @@
  * lacks are gone.
  */
 const FRESH_SERVERS_MS = 1_000;
-/**
- * Number of linked VMs from which the assigner sends new bundles to them. Few VMs read
- * the store instead: there, bytes between zones weigh more than calls.
- */
-const MIN_BUNDLE_LINKS = 30;
-/** Bytes that one bundle may take on all links together. */
-const MAX_BUNDLE_BROADCAST_BYTES = 2_097_152;
+/** Bytes that one delta of a bundle may take on all links together. */
+const MAX_DELTA_BROADCAST_BYTES = 2_097_152;
 
 /** Stands for an assigner whose reads are not known. */
 const NO_READS: LogReadProgress = {
@@ -61,8 +56,6 @@
   readonly owners: OwnerView;
   readonly crashes: CrashWatch;
   readonly zone: string;
-  /** Adopts a record of the log of bundles that the assigner has read. */
-  adoptBundle(record: KeyedRecord): void;
   /** Offset up to which this VM has read the log of servers; undefined before. */
   serversOffset(): number | undefined;
   /** Resources of this VM. */
@@ -134,9 +127,12 @@
     void dependencies.directory.changes.stream.observe(change =>
       this.#assigner?.serversChanged(change),
     );
-    void dependencies.bundles.changes.stream.observe(() =>
-      this.#assigner?.bundleChanged(),
-    );
+    void dependencies.bundles.changes.stream.observe(adoption => {
+      if (this.#assigner === null) return;
+      // Before the heartbeat, which announces the offset of the new bundle.
+      this.#shareBundleDelta(adoption);
+      this.#assigner.bundleChanged();
+    });
   }
 
   /** Whether this VM is the assigner. */
@@ -192,24 +188,6 @@
     else this.#link.send(message);
   }
 
-  /**
-   * Sends records of the log of bundles to the other VMs if this VM is the assigner.
-   * Small bundles only: VMs read others themselves once a heartbeat tells that there
-   * is a new one.
-   *
-   * @param records - Records that this VM has read.
-   */
-  shareBundles(records: readonly KeyedRecord[]): void {
-    const {peers} = this.dependencies;
-    if (this.#assigner === null || peers.linkCount < MIN_BUNDLE_LINKS) return;
-    for (const {key, value, offset} of records) {
-      if (value === null) continue;
-      if (value.length * peers.linkCount > MAX_BUNDLE_BROADCAST_BYTES) continue;
-      const message: GatewayMessage = {kind: 'bundle', key, value, offset};
-      peers.broadcast(message, hello => hello.takesBundles === true);
-    }
-  }
-
   /**
    * Tells the assigner that a server has said that it is leaving.
    *
@@ -391,15 +369,9 @@
           message.listedIds,
         );
         break;
-      case 'bundle': {
-        const {key, value, offset} = message;
-        this.dependencies.adoptBundle({
-          key,
-          value: Buffer.from(value),
-          offset,
-        });
+      case 'bundle-delta':
+        this.dependencies.bundles.applyDelta(message.delta);
         break;
-      }
       case 'server':
       case 'server-gone':
         directory.adopt(message);
@@ -448,7 +420,7 @@
       vm,
       zone,
       serversOffset: serversOffset(),
-      takesBundles: true,
+      takesBundleDeltas: true,
     };
   }
 
@@ -520,6 +492,23 @@
     this.#sendState(message => this.dependencies.peers.broadcast(message));
   }
 
+  /**
+   * Sends the delta of a new bundle to the other VMs. They read a bundle from the store
+   * themselves if its delta is large or if they lack the bundle before.
+   */
+  #shareBundleDelta({bundle, former, offset}: BundleAdoption): void {
+    if (former === null) return;
+    const delta = bundleDelta(former, bundle, offset);
+    if (delta === null) return;
+    this.dependencies.peers.broadcast(
+      {kind: 'bundle-delta', delta},
+      {
+        isFor: hello => hello.takesBundleDeltas === true,
+        maxTotalBytes: MAX_DELTA_BROADCAST_BYTES,
+      },
+    );
+  }
+
   #steppedDown(): void {
     this.dependencies.logger.warn('assigner-superseded', {});
     this.#stopAssigning();
--- a/packages/gateway/src/ownership/peer-server.ts
+++ b/packages/gateway/src/ownership/peer-server.ts
@@ -17,6 +17,14 @@
 /** First message of a VM on a link. */
 type Hello = Extract<GatewayMessage, {kind: 'hello'}>;
 
+/** Limits of a broadcast. */
+export interface BroadcastOptions {
+  /** Which VMs get the message, by their hello; all by default. */
+  readonly isFor?: (hello: Hello) => boolean;
+  /** Bytes on all links together above which no VM gets it; unlimited by default. */
+  readonly maxTotalBytes?: number;
+}
+
 /** A message and the means to answer its sender. */
 export interface ReceivedMessage {
   readonly message: GatewayMessage;
@@ -66,17 +74,19 @@
    * Sends a message to all linked VMs.
    *
    * @param message - The message.
-   * @param isFor - Which VMs get it, by their hello; all by default.
+   * @param options - Which VMs get it, and when it is too large for all of them.
    */
   broadcast(
     message: GatewayMessage,
-    isFor: (hello: Hello) => boolean = () => true,
+    {isFor = () => true, maxTotalBytes = Infinity}: BroadcastOptions = {},
   ): void {
-    if (this.#linked.size === 0) return;
+    const receivers = [...this.#linked].filter(([, hello]) => isFor(hello));
+    if (receivers.length === 0) return;
     const frame = encodeMessage(message, this.logger);
-    if (frame === null) return;
-    for (const [socket, hello] of this.#linked) {
-      if (!isFor(hello)) continue;
+    if (frame === null || frame.length * receivers.length > maxTotalBytes) {
+      return;
+    }
+    for (const [socket] of receivers) {
       if (socket.writableLength > MAX_BACKLOG_BYTES) socket.destroy();
       else socket.write(frame);
     }
--- a/packages/gateway/src/store/bundle-holder.ts
+++ b/packages/gateway/src/store/bundle-holder.ts
@@ -1,22 +1,46 @@
 /** Holds the bundle that is in force at this VM. */
-import {describeError, RouteIndex, WeightedRotation} from '@wisteriarun/core';
+import {
+  applyBundleDelta,
+  describeError,
+  RouteIndex,
+  WeightedRotation,
+} from '@wisteriarun/core';
 import type {
+  BundleDelta,
   GatewayBundle,
   GatewayCodec,
   GatewayRoute,
   GatewayService,
+  KeyedRecord,
 } from '@wisteriarun/core';
 import {Channel} from '@wisteriarun/runtime';
 import type {Logger} from '@wisteriarun/runtime';
 import type {FollowEvent, LogFollower} from './log-follower.js';
 
-/** Adopts bundles from the log; ignores versions that are not newer. */
+/** Limit on the deltas that wait for the bundle they apply to. */
+const MAX_PENDING_DELTAS = 64;
+
+/** A bundle that has come into force. */
+export interface BundleAdoption {
+  readonly bundle: GatewayBundle;
+  /** The bundle before; null for the first. */
+  readonly former: GatewayBundle | null;
+  /** Offset of the record of the bundle. */
+  readonly offset: number;
+}
+
+/**
+ * Adopts bundles from the log, and deltas of them from the assigner; ignores versions
+ * that are not newer.
+ */
 export class BundleHolder {
-  readonly #changes = new Channel<GatewayBundle>();
+  readonly #changes = new Channel<BundleAdoption>();
   #bundle: GatewayBundle | null = null;
   #routes: RouteIndex | null = null;
   #services = new Map<string, GatewayService>();
   #rotations = new Map<string, WeightedRotation>();
+  /** Deltas of bundles that this VM does not have yet. */
+  #pendingDeltas: BundleDelta[] = [];
 
   /**
    * @param follower - Reads the log of bundles.
@@ -37,7 +61,7 @@
   }
 
   /** Emits every bundle that is adopted. */
-  get changes(): Channel<GatewayBundle> {
+  get changes(): Channel<BundleAdoption> {
     return this.#changes;
   }
 
@@ -81,6 +105,20 @@
     return rotation.next();
   }
 
+  /**
+   * Adopts a delta that another VM has found. If this VM does not have the bundle to
+   * which it applies, the delta waits for that.
+   *
+   * @param delta - The delta.
+   */
+  applyDelta(delta: BundleDelta): void {
+    this.#pendingDeltas.push(delta);
+    if (this.#pendingDeltas.length > MAX_PENDING_DELTAS) {
+      this.#pendingDeltas.shift();
+    }
+    this.#applyPendingDeltas();
+  }
+
   /** Ends the stream of changes. */
   close(): void {
     this.#changes.close();
@@ -89,23 +127,50 @@
   #apply(event: FollowEvent): void {
     // An image holds the newest record of every key, `records` the later ones.
     if (event.kind !== 'image' && event.kind !== 'records') return;
-    for (const {key, value, offset} of event.records) {
-      // Deleting the record does not withdraw the bundle in force.
-      if (value === null) continue;
-      const decoded = this.codec.bundle(key, value);
-      if (decoded.isErr) {
-        this.logger.warn('bundle-refused', {
-          cause: describeError(decoded.error),
-        });
-      } else if (decoded.value !== null) {
-        // Null stands for a record that holds no bundle.
-        this.#adopt(decoded.value, offset);
-      }
+    // Only the
+    // newest bundle matters, and decoding a large one takes long.
+    for (const record of [...event.records].reverse()) {
+      if (this.#adoptRecord(record)) break;
+    }
+    this.#applyPendingDeltas();
+  }
+
+  /** Returns whether the record holds a bundle, which was adopted if it is newer. */
+  #adoptRecord({key, value, offset}: KeyedRecord): boolean {
+    // Deleting the record does not withdraw the bundle in force.
+    if (value === null) return false;
+    const decoded = this.codec.bundle(key, value);
+    if (decoded.isErr) {
+      this.logger.warn('bundle-refused', {
+        cause: describeError(decoded.error),
+      });
+      return false;
     }
+    // Null stands for a record that holds no bundle.
+    if (decoded.value === null) return false;
+    this.#adopt(decoded.value, offset);
+    return true;
+  }
+
+  #applyPendingDeltas(): void {
+    for (;;) {
+      const bundle = this.#bundle;
+      if (bundle === null) return;
+      const delta = this.#pendingDeltas.find(
+        ({baseVersion}) => baseVersion === bundle.version,
+      );
+      if (delta === undefined) break;
+      this.#adopt(applyBundleDelta(bundle, delta), delta.offset);
+    }
+    const version = this.#bundle?.version ?? 0;
+    this.#pendingDeltas = this.#pendingDeltas.filter(
+      delta => delta.version > version,
+    );
   }
 
   #adopt(bundle: GatewayBundle, offset: number): void {
-    if (this.#bundle !== null && bundle.version <= this.#bundle.version) return;
+    const former = this.#bundle;
+    if (former !== null && bundle.version <= former.version) return;
     this.#bundle = bundle;
     this.#routes = new RouteIndex(bundle);
     this.#services = new Map(
@@ -121,6 +186,6 @@
       routes: bundle.routes.length,
       services: bundle.services.length,
     });
-    this.#changes.emit(bundle);
+    this.#changes.emit({bundle, former, offset});
   }
 }
--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -92,16 +92,14 @@
   }
 
   /**
-   * Adopts a record that another VM has read, if this VM has not read it yet. Records
-   * between the last read and this one are skipped: it is the newest of its key, and
-   * the log holds the complete value of a key in each record.
+   * Skips records that this VM knows from another one. Each record holds the complete
+   * value of its key, so that earlier ones may be skipped too.
    *
-   * @param record - The record.
+   * @param offset - Offset of the next record to read; ignored if it was read before.
    */
-  adopt(record: KeyedRecord): void {
-    if (this.#offset === null || record.offset < this.#offset) return;
-    this.#offset = record.offset + 1;
-    this.#channel.emit({kind: 'records', records: [record]});
+  skipTo(offset: number): void {
+    if (this.#offset === null || offset <= this.#offset) return;
+    this.#offset = offset;
   }
 
   /** Starts reading. */
@@ -157,11 +155,11 @@
       return true;
     }
     this.#markRegained();
-    // Records may have been adopted during the read.
-    const adoptedOffset = this.#offset;
-    this.#offset = Math.max(adoptedOffset, batch.value.nextOffset);
+    // Records may have been skipped during the read.
+    const nextOffset = this.#offset;
+    this.#offset = Math.max(nextOffset, batch.value.nextOffset);
     const records = batch.value.records.filter(
-      ({offset}) => offset >= adoptedOffset,
+      ({offset}) => offset >= nextOffset,
     );
     this.#logSlowRead('records', batch.value.records, startedAtMs, waitMs);
     if (records.length > 0) this.#channel.emit({kind: 'records', records});
