Count the age of a VM's knowledge from when it was true

What callers saw (CONFIG, DRAIN): requests by an old bundle, and to a server that had left, at VMs that took themselves for up to date. Cause: the assigner stated the age of its reads, and a VM counted on from the time at which it read that heartbeat; an own read counted from when its answer was handled. The time in full links and unread sockets was not counted, so that such a VM read nothing itself. The time of a drain counted from when a VM heard of it; that a VM hears of it in time was a sum of shares of the bound. The class of fault: an age that is measured from the receipt of a message instead of from its cause. A read counts from its start. A draining server gets requests until 0.7 of the bound after the last time at which it was known not to drain, so that late knowledge shortens this time instead of exceeding the bound. The assigner's polls of bundles end in time for the age that the VMs accept.

--- a/packages/core/src/core/range/index.ts
+++ b/packages/core/src/core/range/index.ts
@@ -6,6 +6,7 @@
 export * from './key-load-map.js';
 export * from './range-planner.js';
 export * from './range-table.js';
+export * from './remote-clock.js';
 export * from './route-index.js';
 export * from './server-load-view.js';
 export * from './server-pause.js';
--- a/packages/core/src/types/gateway.ts
+++ b/packages/core/src/types/gateway.ts
@@ -146,6 +146,8 @@
      * assigner sends all servers.
      */
     serversOffset: z.int().optional(),
+    /** As in `probe`. */
+    sentAtMs: z.number().optional(),
     /** Whether the VM understands messages of kind `bundle-delta`. */
     takesBundleDeltas: z.boolean().optional(),
   }),
@@ -155,10 +157,26 @@
     loads: z.array(keyLoadSchema),
     paces: z.array(serverPaceSchema),
   }),
+  /** Asks the assigner for its clock. */
+  z.object({
+    kind: z.literal('probe'),
+    /** Time on the sender's monotonic clock. */
+    sentAtMs: z.number(),
+  }),
+  /** Answers a probe or a hello. */
+  z.object({
+    kind: z.literal('echo'),
+    /** Time that the probe stated. */
+    sentAtMs: z.number(),
+    /** Time on the assigner's monotonic clock. */
+    clockMs: z.number(),
+  }),
   /** Shows that the assigner is live, and how recent its reads are. */
   z.object({
     kind: z.literal('heartbeat'),
     term: z.int(),
+    /** Time on the assigner's monotonic clock; earlier versions do not state it. */
+    clockMs: z.number().optional(),
     /**
      * True when the assigner has appended nothing for too long. The other VMs
      * then read the log and may elect another assigner.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,15 +53,16 @@
  */
 const GRANT_HOLD_MS = 4_000;
 /**
- * Interval between reads of the `servers` log, as a share of the `drain` setting.
+ * Interval between reads of the `servers` log, as a share of the `drain` setting, and age
+ * of the assigner's last read above which a VM reads it itself.
  */
-const SERVER_POLL_RATIO = 0.4;
+const SERVER_POLL_RATIO = 0.5;
 /**
- * Time for which an owner that was seen draining still gets requests, as a share
- * of the `drain` setting. Up to `SERVER_POLL_RATIO` of that setting passes before
- * a VM sees it, so that the sum of both must stay below 1.
+ * Time for which a draining owner still gets requests, as a share of the `drain` setting.
+ * It counts from the last time at which the VM knew that the owner was not draining; the
+ * rest is for the way to the server.
  */
-const DRAINING_OWNER_RATIO = 0.3;
+const DRAINING_OWNER_RATIO = 0.7;
 /** Interval between reads of the `servers` log at the assigner. */
 const ASSIGNER_SERVER_POLL_MS = 200;
 /** Shortest interval between load reports to the assigner. */
@@ -160,6 +161,7 @@
       codec,
       clock,
       logger,
+      () => this.#serversKnownAtMs(),
     );
     this.#peerServer = new PeerServer(logger);
     this.#coordinator = new Coordinator({
@@ -372,11 +374,20 @@
       : this.settings.drainMs * SERVER_POLL_RATIO;
   }
 
+  /** Time up to which all changes of servers are known, by any way. */
+  #serversKnownAtMs(): number {
+    const nowMs = this.ports.clock.monotonicMs();
+    const {serversAgeMs} = this.#coordinator.assignerReads;
+    return Math.max(this.#serverFollower.readAtMs, nowMs - serversAgeMs);
+  }
+
+  /** Wait that ends while the last read is still recent enough. */
   #bundleLongPollMs(): number {
     const ratio = this.#coordinator.isAssigner
       ? ASSIGNER_LONG_POLL_RATIO
       : BUNDLE_LONG_POLL_RATIO;
-    return this.settings.configMs * ratio;
+    const longestMs = this.settings.configMs * ratio;
+    return Math.max(0, longestMs - this.#bundleFollower.ageMs);
   }
 
   /**
--- a/packages/gateway/src/ownership/assigner.ts
+++ b/packages/gateway/src/ownership/assigner.ts
@@ -326,6 +326,7 @@
       peers.broadcast({
         kind: 'heartbeat',
         term: publisher.term,
+        clockMs: nowMs,
         isLogLost,
         ...this.dependencies.readProgress(),
       });
--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -1,6 +1,6 @@
 /** Takes part in the election of the assigner; assigns or follows it. */
 import {randomUUID} from 'node:crypto';
-import {bundleDelta, electionDelayMs} from '@wisteriarun/core';
+import {bundleDelta, electionDelayMs, RemoteClock} from '@wisteriarun/core';
 import type {
   AssignerContact,
   CrashRecord,
@@ -37,6 +37,8 @@
  * lacks are gone.
  */
 const FRESH_SERVERS_MS = 1_000;
+/** Interval at which a VM asks the assigner for its clock. */
+const PROBE_INTERVAL_MS = 1_000;
 /** Bytes that one delta of a bundle may take on all links together. */
 const MAX_DELTA_BROADCAST_BYTES = 2_097_152;
 
@@ -79,9 +81,11 @@
   #mayAssign = true;
   /** Number of owners missing from the list of servers, as last logged. */
   #unlistedCount = 0;
-  /** What the assigner had read at `#assignerReadsAtMs`. */
+  /** What the assigner had read when its clock showed `#assignerReadsClockMs`. */
   #assignerReads: LogReadProgress = NO_READS;
-  #assignerReadsAtMs = -Infinity;
+  #assignerReadsClockMs = -Infinity;
+  readonly #assignerClock = new RemoteClock();
+  #probedAtMs = -Infinity;
   readonly #electionDelayMs: number;
 
   /**
@@ -118,6 +122,13 @@
         const {id, bornMs} = message.server;
         dependencies.directory.markLeaving(id, bornMs);
       }
+      if (
+        (message.kind === 'hello' || message.kind === 'probe') &&
+        message.sentAtMs !== undefined
+      ) {
+        const clockMs = dependencies.clock.monotonicMs();
+        reply({kind: 'echo', sentAtMs: message.sentAtMs, clockMs});
+      }
       if (message.kind === 'hello') {
         const view = this.#publisher?.view;
         if (view !== undefined) reply({kind: 'view', view});
@@ -146,13 +157,15 @@
   }
 
   /**
-   * How far the assigner has read the logs. Without a live link to it, or on
-   * the assigner itself, the ages are infinite and the offset is 0.
+   * How far the assigner has read the logs. The ages include the time that its messages
+   * may have taken. Without a live link to it, or on the assigner itself, the ages are
+   * infinite and the offset is 0.
    */
   get assignerReads(): LogReadProgress {
     if (this.isAssigner || !this.#link.isLive) return NO_READS;
+    const nowMs = this.dependencies.clock.monotonicMs();
     const sinceMs =
-      this.dependencies.clock.monotonicMs() - this.#assignerReadsAtMs;
+      nowMs - this.#assignerClock.earliestMs(this.#assignerReadsClockMs, nowMs);
     const {serversAgeMs, bundlesAgeMs, bundlesOffset} = this.#assignerReads;
     return {
       serversAgeMs: serversAgeMs + sinceMs,
@@ -236,11 +249,19 @@
     if (!this.#isLoaded) return await this.#loadNewestRecord();
     if (this.#link.isLive && !this.#isAssignerLogLost) {
       this.#assignerSeenAtMs = this.dependencies.clock.monotonicMs();
+      this.#probeAssigner();
       return STEP_MS;
     }
     return await this.#watchLog();
   }
 
+  #probeAssigner(): void {
+    const nowMs = this.dependencies.clock.monotonicMs();
+    if (nowMs - this.#probedAtMs < PROBE_INTERVAL_MS) return;
+    this.#probedAtMs = nowMs;
+    this.#link.send({kind: 'probe', sentAtMs: nowMs});
+  }
+
   /**
    * Reads the newest record once this VM knows the servers and a bundle, and
    * starts the first election if there is none. Returns the wait until the next
@@ -350,6 +371,7 @@
     this.#isResyncing = false;
     this.#isAssignerLogLost = false;
     this.#assignerReads = NO_READS;
+    this.#assignerClock.clear();
   }
 
   #handleMessage(message: GatewayMessage): void {
@@ -359,9 +381,12 @@
         this.#link.heartbeatReceived();
         this.#isAssignerLogLost = message.isLogLost;
         this.#assignerReads = message;
-        this.#assignerReadsAtMs = clock.monotonicMs();
+        this.#assignerReadsClockMs = message.clockMs ?? -Infinity;
         this.#logUnlisted();
         break;
+      case 'echo':
+        this.#assignerClock.record(message.sentAtMs, message.clockMs);
+        break;
       case 'servers':
         directory.adoptAll(
           message.servers,
@@ -414,11 +439,12 @@
 
   /** Message that asks the assigner for its state. */
   #hello(): GatewayMessage {
-    const {vm, zone, serversOffset} = this.dependencies;
+    const {vm, zone, serversOffset, clock} = this.dependencies;
     return {
       kind: 'hello',
       vm,
       zone,
+      sentAtMs: clock.monotonicMs(),
       serversOffset: serversOffset(),
       takesBundleDeltas: true,
     };
--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -55,7 +55,8 @@
   /** Time of the first of consecutive failed reads; null after a success. */
   #lostAtMs: number | null = null;
   #failedReads = 0;
-  #answeredAtMs: number | null = null;
+  #answeredAtMs = -Infinity;
+  #readAtMs = -Infinity;
 
   /**
    * @param log - The platform's log.
@@ -80,10 +81,17 @@
     return this.#channel.stream;
   }
 
-  /** Milliseconds since the last successful read; infinite before the first. */
+  /**
+   * Monotonic time up to which all records are known, at least; -Infinity before the
+   * first read. While records of a read are emitted, it is that of the read before.
+   */
+  get readAtMs(): number {
+    return this.#readAtMs;
+  }
+
+  /** Milliseconds since `readAtMs`; infinite before the first read. */
   get ageMs(): number {
-    if (this.#answeredAtMs === null) return Infinity;
-    return this.clock.monotonicMs() - this.#answeredAtMs;
+    return this.clock.monotonicMs() - this.#readAtMs;
   }
 
   /** Offset of the next record to read; null when an image is needed first. */
@@ -134,7 +142,8 @@
   /** Reads once; returns false when the log was not available. */
   async #readOnce(): Promise<boolean> {
     const startedAtMs = this.clock.monotonicMs();
-    if (this.#offset === null || this.ageMs > MAX_READ_GAP_MS) {
+    const gapMs = startedAtMs - this.#answeredAtMs;
+    if (this.#offset === null || gapMs > MAX_READ_GAP_MS) {
       const image = await this.log.newest(this.name);
       if (image.isErr) return this.#markLost(image.error, startedAtMs);
       this.#offset = image.value.endOffset;
@@ -142,6 +151,7 @@
       const {records} = image.value;
       this.#logSlowRead('image', records, startedAtMs, 0);
       this.#channel.emit({kind: 'image', records});
+      this.#readAtMs = startedAtMs;
       return true;
     }
     const waitMs = this.schedule.waitMs();
@@ -163,6 +173,9 @@
     );
     this.#logSlowRead('records', batch.value.records, startedAtMs, waitMs);
     if (records.length > 0) this.#channel.emit({kind: 'records', records});
+    // A read without records has waited for them, so that there were none until then.
+    this.#readAtMs =
+      startedAtMs + (batch.value.records.length === 0 ? waitMs : 0);
     return true;
   }
 
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -53,12 +53,14 @@
    * @param codec - Decodes its records.
    * @param clock - Clock of the process.
    * @param logger - Receives changes and malformed records.
+   * @param knownAtMs - Monotonic time up to which all changes are known, at least.
    */
   constructor(
     follower: LogFollower,
     private readonly codec: GatewayCodec,
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly knownAtMs: () => number = () => clock.monotonicMs(),
   ) {
     void follower.events.observe(event => this.#apply(event));
   }
@@ -91,10 +93,12 @@
   }
 
   /**
-   * Returns the time since a server was first seen draining.
+   * Returns how long a server may have been draining: the time since this VM last knew
+   * that it was not.
    *
    * @param id - Id of the server.
-   * @returns Milliseconds; 0 for a server that is not draining.
+   * @returns Milliseconds; 0 for a server that is not draining, and infinite for one that
+   * was never seen otherwise.
    */
   drainingMs(id: string): number {
     const sinceMs = this.#drainingSinceMs.get(id);
@@ -267,7 +271,10 @@
     this.#changedAtOffset.set(key, offset);
     if (!server.isDraining) this.#drainingSinceMs.delete(key);
     else if (!this.#drainingSinceMs.has(key)) {
-      this.#drainingSinceMs.set(key, this.clock.monotonicMs());
+      const nowMs = this.clock.monotonicMs();
+      // An answer has said that the server is leaving as soon as it was.
+      const sinceMs = isLeaving ? nowMs : Math.min(nowMs, this.knownAtMs());
+      this.#drainingSinceMs.set(key, sinceMs);
     }
     if (!this.#isReadingImage) {
       this.logger.info('server-changed', {
--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -9,7 +9,7 @@
 } from '@wisteriarun/core';
 import {HttpKeyedLog, PLATFORM_CODEC} from '@wisteriarun/platform';
 import {Channel, createLogger, SystemClock} from '@wisteriarun/runtime';
-import {PlatformStore} from '@wisteriarun/standins';
+import {PlatformStore, SlowLink} from '@wisteriarun/standins';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {CrashWatch} from '../src/entry/crash-watch.js';
 import {Coordinator} from '../src/ownership/coordinator.js';
@@ -279,6 +279,64 @@
   });
 });
 
+// Guards against VMs that take old knowledge for fresh: a heartbeat that had waited in full
+// links and unread sockets counted from the time at which it was read.
+it('the age of what the assigner has read includes the time on the link', async () => {
+  const maxDelayMs = 1_000;
+  const [port = 0] = await freePorts(1);
+  const assigner = new PeerServer(logger);
+  await assigner.listen('127.0.0.1', port);
+  const link = await SlowLink.open(`127.0.0.1:${port}`);
+  const follower = new ElectedCoordinator();
+  await follower.create(recordOf('vm-2', link.address));
+  const heartbeats = setInterval(
+    () =>
+      assigner.broadcast({
+        kind: 'heartbeat',
+        term: 0,
+        isLogLost: false,
+        clockMs: clock.monotonicMs(),
+        serversAgeMs: 0,
+        bundlesAgeMs: 0,
+        bundlesOffset: 0,
+      }),
+    100,
+  );
+  void assigner.messages.stream.observe(({message, reply}) => {
+    if (message.kind !== 'probe' && message.kind !== 'hello') return;
+    reply({
+      kind: 'echo',
+      sentAtMs: message.sentAtMs!,
+      clockMs: clock.monotonicMs(),
+    });
+  });
+  follower.coordinator.start();
+  await vi.waitFor(() => expect(assigner.linkCount).toBe(1), 5_000);
+  await vi.waitFor(
+    () =>
+      expect(follower.coordinator.assignerReads.serversAgeMs).toBeLessThan(500),
+    2_000,
+  );
+  // A queue that grows slowly, so that the link never falls silent.
+  while (link.delayMs < maxDelayMs) {
+    link.delayMs += 50;
+    await new Promise(resolve => setTimeout(resolve, 100));
+  }
+  // Until nothing is on the way that was sent before.
+  await new Promise(resolve => setTimeout(resolve, 2 * maxDelayMs));
+  const agesMs: number[] = [];
+  for (let sample = 0; sample < 20; sample += 1) {
+    await new Promise(resolve => setTimeout(resolve, 100));
+    const {serversAgeMs, bundlesAgeMs} = follower.coordinator.assignerReads;
+    agesMs.push(serversAgeMs, bundlesAgeMs);
+  }
+  clearInterval(heartbeats);
+  await follower.close();
+  assigner.close();
+  link.close();
+  expect(Math.min(...agesMs)).toBeGreaterThanOrEqual(maxDelayMs);
+});
+
 describe('a follower of a log', () => {
   it('skips records that it knows from another VM', async () => {
     const store = new PlatformStore();
--- a/packages/gateway/test/server-directory.test.ts
+++ b/packages/gateway/test/server-directory.test.ts
@@ -43,6 +43,34 @@
     expect(ids()).toEqual(['i-1', 'i-2', 'i-3']);
   });
 
+  // Guards against requests that reach a draining server too late because the time since
+  // its report counted from when the VM heard of it.
+  it('counts the time of a drain from when the server was last known not to drain', () => {
+    let knownAtMs = -Infinity;
+    const clock = new SystemClock();
+    const late = new ServerDirectory(
+      {events: never()} as unknown as LogFollower,
+      PLATFORM_CODEC,
+      clock,
+      createLogger({level: 'error', process: 'test', zone: 'a'}),
+      () => knownAtMs,
+    );
+    late.adoptAll([gatewayServer('i-1'), gatewayServer('i-2')], true);
+    knownAtMs = clock.monotonicMs() - 700;
+    const drain = (id: string) => {
+      const server = gatewayServer(id, {isDraining: true, sequence: 9});
+      late.adopt({kind: 'server', server});
+    };
+    drain('i-1');
+    expect(late.drainingMs('i-1')).toBeGreaterThanOrEqual(700);
+    expect(late.drainingMs('i-2')).toBe(0);
+    // What a VM learns first of a server says nothing about the time before.
+    knownAtMs = -Infinity;
+    drain('i-2');
+    expect(late.drainingMs('i-2')).toBe(Infinity);
+    late.close();
+  });
+
   it('keeps a server as draining that has said so in an answer, until it restarts', () => {
     const isDraining = () => directory.registry.find('i-1')?.isDraining;
     const {bornMs} = gatewayServer('i-1');
--- a/testing/standins/src/slow-link.ts
+++ b/testing/standins/src/slow-link.ts
@@ -8,14 +8,14 @@
 
 /** How slow a link is. */
 export interface SlowLinkOptions {
-  /** Time that bytes spend on the link, in each direction. Default 0. */
-  readonly delayMs?: number;
   /** Bytes that each connection carries a second to the client. Default unlimited. */
   readonly bytesPerS?: number;
 }
 
 /** Forwards connections to an address, slowly. */
 export class SlowLink {
+  /** Time that bytes which come from now on spend on the link, in each direction. */
+  delayMs = 0;
   readonly #sockets = new Set<Socket>();
 
   private constructor(
@@ -33,13 +33,13 @@
    */
   static async open(
     target: string,
-    {delayMs = 0, bytesPerS = Infinity}: SlowLinkOptions,
+    {bytesPerS = Infinity}: SlowLinkOptions = {},
   ): Promise<SlowLink> {
     const [host = '', port = ''] = target.split(':');
     const server = createServer({noDelay: true}, near => {
       const far = connect({host, port: Number(port), noDelay: true});
-      link.#forward(near, far, delayMs, Infinity);
-      link.#forward(far, near, delayMs, bytesPerS);
+      link.#forward(near, far, Infinity);
+      link.#forward(far, near, bytesPerS);
     });
     await new Promise<void>(resolve =>
       server.listen(0, '127.0.0.1', () => resolve()),
@@ -55,7 +55,7 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
-  #forward(from: Socket, to: Socket, delayMs: number, bytesPerS: number): void {
+  #forward(from: Socket, to: Socket, bytesPerS: number): void {
     this.#sockets.add(from);
     const waiting: {dueAtMs: number; bytes: Buffer}[] = [];
     const timer = setInterval(() => {
@@ -72,7 +72,7 @@
       }
     }, STEP_MS);
     from.on('data', bytes =>
-      waiting.push({dueAtMs: performance.now() + delayMs, bytes}),
+      waiting.push({dueAtMs: performance.now() + this.delayMs, bytes}),
     );
     from.on('error', () => {});
     from.on('close', () => {
