Send no probe to an assigner that does not know it

An assigner of an earlier version closes a link at a message that it does not know, so that links would be closed every second while VMs are replaced by a new version. Only an assigner that has answered the hello gets probes; the test failed before.

--- a/packages/gateway/src/ownership/coordinator.ts
+++ b/packages/gateway/src/ownership/coordinator.ts
@@ -86,6 +86,8 @@
   #assignerReadsClockMs = -Infinity;
   readonly #assignerClock = new RemoteClock();
   #probedAtMs = -Infinity;
+  /** Whether the assigner has answered the hello; earlier versions close at a probe. */
+  #answersProbes = false;
   readonly #electionDelayMs: number;
 
   /**
@@ -257,7 +259,8 @@
 
   #probeAssigner(): void {
     const nowMs = this.dependencies.clock.monotonicMs();
-    if (nowMs - this.#probedAtMs < PROBE_INTERVAL_MS) return;
+    const isDue = nowMs - this.#probedAtMs >= PROBE_INTERVAL_MS;
+    if (!isDue || !this.#answersProbes) return;
     this.#probedAtMs = nowMs;
     this.#link.send({kind: 'probe', sentAtMs: nowMs});
   }
@@ -372,6 +375,7 @@
     this.#isAssignerLogLost = false;
     this.#assignerReads = NO_READS;
     this.#assignerClock.clear();
+    this.#answersProbes = false;
   }
 
   #handleMessage(message: GatewayMessage): void {
@@ -385,6 +389,7 @@
         this.#logUnlisted();
         break;
       case 'echo':
+        this.#answersProbes = true;
         this.#assignerClock.record(message.sentAtMs, message.clockMs);
         break;
       case 'servers':
--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -337,6 +337,39 @@
   expect(Math.min(...agesMs)).toBeGreaterThanOrEqual(maxDelayMs);
 });
 
+it('a VM sends no probe to an assigner of an earlier version', async () => {
+  const [port = 0] = await freePorts(1);
+  const assigner = new PeerServer(logger);
+  await assigner.listen('127.0.0.1', port);
+  const kinds: string[] = [];
+  void assigner.messages.stream.observe(({message}) =>
+    kinds.push(message.kind),
+  );
+  const heartbeats = setInterval(
+    () =>
+      assigner.broadcast({
+        kind: 'heartbeat',
+        term: 0,
+        isLogLost: false,
+        serversAgeMs: 0,
+        bundlesAgeMs: 0,
+        bundlesOffset: 0,
+      }),
+    100,
+  );
+  const follower = new ElectedCoordinator();
+  await follower.create(recordOf('vm-2', `127.0.0.1:${port}`));
+  follower.coordinator.start();
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  const {serversAgeMs} = follower.coordinator.assignerReads;
+  clearInterval(heartbeats);
+  await follower.close();
+  assigner.close();
+  expect(kinds).toEqual(['hello']);
+  // Without its clock, nothing is known of the age.
+  expect(serversAgeMs).toBe(Infinity);
+});
+
 describe('a follower of a log', () => {
   it('skips records that it knows from another VM', async () => {
     const store = new PlatformStore();
