Change only the ranges that overlap when a range gets another owner

Every VM applied each changed range by building the whole list of a service's ranges anew. The table's property test is unchanged.

--- a/packages/core/src/core/range/range-table.ts
+++ b/packages/core/src/core/range/range-table.ts
@@ -52,18 +52,9 @@
    * @returns The range, or null when the key was never assigned.
    */
   find(service: string, key: number): RangeOwner | null {
-    const ranges = this.#services.get(service);
-    if (ranges === undefined) return null;
-    let low = 0;
-    let high = ranges.length - 1;
-    while (low <= high) {
-      const middle = (low + high) >> 1;
-      const range = ranges[middle]!;
-      if (key < range.fromKey) high = middle - 1;
-      else if (key > range.toKey) low = middle + 1;
-      else return range;
-    }
-    return null;
+    const ranges = this.ofService(service);
+    const range = ranges[firstIndexFrom(ranges, key)];
+    return range !== undefined && range.fromKey <= key ? range : null;
   }
 
   /**
@@ -72,11 +63,19 @@
    * @param assigned - The range with its owner.
    */
   assign(assigned: RangeOwner): void {
-    const ranges = this.#services.get(assigned.service) ?? [];
-    const kept = ranges.flatMap(range => subtractKeys(range, assigned));
-    const at = kept.findIndex(range => range.fromKey > assigned.fromKey);
-    kept.splice(at < 0 ? kept.length : at, 0, assigned);
-    this.#services.set(assigned.service, kept);
+    const ranges = this.ofService(assigned.service);
+    const start = firstIndexFrom(ranges, assigned.fromKey);
+    let end = start;
+    const parts: RangeOwner[] = [];
+    for (const range of overlapsFrom(ranges, start, assigned)) {
+      parts.push(...subtractKeys(range, assigned));
+      end += 1;
+    }
+    const at = parts.findIndex(part => part.fromKey > assigned.fromKey);
+    parts.splice(at < 0 ? parts.length : at, 0, assigned);
+    // A copy, since callers may iterate over the ranges while they change.
+    const changed = ranges.toSpliced(start, end - start, ...parts);
+    this.#services.set(assigned.service, changed);
   }
 
   /**
@@ -87,10 +86,9 @@
    * @returns Overlapping ranges, narrowed to those keys.
    */
   *overlapping(service: string, within: KeyRange): Generator<RangeOwner> {
-    for (const range of this.ofService(service)) {
-      if (range.toKey < within.fromKey || range.fromKey > within.toKey) {
-        continue;
-      }
+    const ranges = this.ofService(service);
+    const start = firstIndexFrom(ranges, within.fromKey);
+    for (const range of overlapsFrom(ranges, start, within)) {
       yield {
         ...range,
         fromKey: Math.max(range.fromKey, within.fromKey),
@@ -99,3 +97,28 @@
     }
   }
 }
+
+/** Finds the first range that ends at a key or after it. */
+function firstIndexFrom(ranges: readonly RangeOwner[], key: number): number {
+  let low = 0;
+  let high = ranges.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (ranges[middle]!.toKey < key) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+/** Yields the ranges from an index on that begin before the end of a range. */
+function* overlapsFrom(
+  ranges: readonly RangeOwner[],
+  start: number,
+  {toKey}: KeyRange,
+): Generator<RangeOwner> {
+  for (let index = start; index < ranges.length; index += 1) {
+    const range = ranges[index]!;
+    if (range.fromKey > toKey) return;
+    yield range;
+  }
+}
