Take a server for gone only when the list was read at the end of its grace

After a start or a loss of the log, servers have 2 s to be listed again. That time was over by the clock alone, although the list is read at intervals of up to 0.4 of the bound of a drain, so that a server that was listed again in the meantime lost its keys. Now the time up to which the list is known has to reach the end of the grace.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,7 +56,7 @@
  * Interval between reads of the `servers` log, as a share of the `drain` setting, and age
  * of the assigner's last read above which a VM reads it itself.
  */
-const SERVER_POLL_RATIO = 0.5;
+const SERVER_POLL_RATIO = 0.4;
 /**
  * Time for which a draining owner still gets requests, as a share of the `drain` setting.
  * It counts from the last time at which the VM knew that the owner was not draining; the
--- a/packages/gateway/src/store/server-directory.ts
+++ b/packages/gateway/src/store/server-directory.ts
@@ -12,6 +12,9 @@
  */
 const RELIST_GRACE_MS = 2_000;
 
+/** Interval at which it is checked whether the list is known up to the end of the grace. */
+const REMOVAL_RECHECK_MS = 50;
+
 /** Limit on the ids that are remembered for malformed descriptions. */
 const MAX_MALFORMED_IDS = 1_000;
 
@@ -77,9 +80,8 @@
    */
   get isSettled(): boolean {
     const sinceMs = Math.max(this.#loadedAtMs, this.#regainedAtMs);
-    return (
-      !this.#isLost && this.clock.monotonicMs() - sinceMs >= RELIST_GRACE_MS
-    );
+    // What was listed since the last read is not known yet.
+    return !this.#isLost && this.knownAtMs() - sinceMs >= RELIST_GRACE_MS;
   }
 
   /** Newest description of each listed server. */
@@ -297,15 +299,23 @@
 
   #removeAfterGrace(id: string): void {
     if (this.#registry.find(id) === null || this.#removalTimers.has(id)) return;
-    const leftMs =
-      this.#regainedAtMs + RELIST_GRACE_MS - this.clock.monotonicMs();
-    if (!this.#isLost && leftMs <= 0) {
-      this.#remove(id);
-      return;
-    }
+    const nowMs = this.clock.monotonicMs();
+    const graceEndsAtMs = this.#isLost
+      ? nowMs + RELIST_GRACE_MS
+      : this.#regainedAtMs + RELIST_GRACE_MS;
+    if (graceEndsAtMs <= nowMs) this.#remove(id);
+    else this.#removeOnceKnown(id, graceEndsAtMs);
+  }
+
+  /** Removes a server unless it is listed until a time, once that is known. */
+  #removeOnceKnown(id: string, graceEndsAtMs: number): void {
+    const leftMs = graceEndsAtMs - this.clock.monotonicMs();
     const timer = setTimeout(
-      () => this.#remove(id),
-      Math.max(leftMs, this.#isLost ? RELIST_GRACE_MS : 0),
+      () => {
+        if (this.knownAtMs() >= graceEndsAtMs) this.#remove(id);
+        else this.#removeOnceKnown(id, graceEndsAtMs);
+      },
+      Math.max(leftMs, REMOVAL_RECHECK_MS),
     );
     this.#removalTimers.set(id, timer);
   }
--- a/packages/gateway/test/server-directory.test.ts
+++ b/packages/gateway/test/server-directory.test.ts
@@ -1,9 +1,10 @@
 import {HttpKeyedLog, PLATFORM_CODEC} from '@wisteriarun/platform';
-import {createLogger, SystemClock} from '@wisteriarun/runtime';
+import {Channel, createLogger, SystemClock} from '@wisteriarun/runtime';
 import {PlatformStore} from '@wisteriarun/standins';
 import {never} from 'most';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {LogFollower} from '../src/store/log-follower.js';
+import type {FollowEvent} from '../src/store/log-follower.js';
 import {ServerDirectory} from '../src/store/server-directory.js';
 import {gatewayServer} from './fixtures.js';
 
@@ -150,3 +151,70 @@
   await store.close();
   expect(listed).toEqual([]);
 });
+
+// Guards against keys that move away from servers that are listed again in time: the time
+// for that was over before the list had been read at its end.
+describe('a server that is missing after a start or a loss of the log', () => {
+  /** Time in which servers are listed again. */
+  const GRACE_MS = 2_000;
+  const clock = new SystemClock();
+  const record = (id: string, sequence: number) => ({
+    key: id,
+    value: Buffer.from(
+      JSON.stringify({
+        addr: '127.0.0.1:9',
+        born: 1_000,
+        info: {service: 'records', version: 'v1', zone: 'a', slots: 3},
+        status: {state: 'ready', seq: sequence, warmup_left: '0ms'},
+      }),
+    ),
+    offset: sequence,
+  });
+  let events: Channel<FollowEvent>;
+  let knownAtMs: number;
+  let directory: ServerDirectory;
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+    events = new Channel();
+    knownAtMs = -Infinity;
+    directory = new ServerDirectory(
+      {events: events.stream} as unknown as LogFollower,
+      PLATFORM_CODEC,
+      clock,
+      createLogger({level: 'error', process: 'test', zone: 'a'}),
+      () => knownAtMs,
+    );
+    const records = [record('i-1', 1), record('i-2', 2)];
+    events.emit({kind: 'image', records});
+  });
+
+  afterEach(() => {
+    directory.close();
+    vi.useRealTimers();
+  });
+
+  it('is not gone at a start before a later list was read', () => {
+    const loadedAtMs = clock.monotonicMs();
+    vi.advanceTimersByTime(GRACE_MS + 100);
+    knownAtMs = loadedAtMs + GRACE_MS - 1;
+    expect(directory.isSettled).toBe(false);
+    knownAtMs = loadedAtMs + GRACE_MS + 1;
+    expect(directory.isSettled).toBe(true);
+  });
+
+  it('is not gone after a loss before a later list was read', () => {
+    events.emit({kind: 'lost'});
+    events.emit({kind: 'regained'});
+    const regainedAtMs = clock.monotonicMs();
+    events.emit({kind: 'image', records: [record('i-2', 3)]});
+    vi.advanceTimersByTime(GRACE_MS + 100);
+    knownAtMs = regainedAtMs + GRACE_MS - 1;
+    vi.advanceTimersByTime(500);
+    expect(directory.registry.find('i-1')).not.toBeNull();
+    knownAtMs = regainedAtMs + GRACE_MS + 1;
+    vi.advanceTimersByTime(500);
+    expect(directory.registry.find('i-1')).toBeNull();
+    expect(directory.registry.find('i-2')).not.toBeNull();
+  });
+});
