Give keys back to the server that a move was planned for, once it is listed

Cause: a move that was in progress at the loss, to a server that is listed late, went to a third one, which had to wait until no grant to either could be valid. The new test of the mover failed before. The recovery test compares the owners with the last record of the assigner instead of the holders at the loss: a move that was recorded is continued, so that its keys go to the next owner, and the holders differ then; the check is as strict, for every key. It prints the logs of a failure.

--- a/packages/gateway/src/ownership/range-mover.ts
+++ b/packages/gateway/src/ownership/range-mover.ts
@@ -357,9 +357,9 @@
           : ledger.freeAtMs(range.service, range, candidate.id);
       if (candidate === null || freeAtMs > nowMs) {
         // No server is eligible, or another one may still hold some of the keys.
-        const former = this.#findRestorableOwner(range, nowMs);
-        if (former !== null) {
-          preferred = former;
+        const holder = this.#findGrantableHolder(range, nowMs);
+        if (holder !== null) {
+          preferred = holder;
           continue;
         }
         if (freeAtMs > nowMs + OWNERLESS_AFTER_MS) {
@@ -396,14 +396,21 @@
   }
 
   /**
-   * Returns the former owner if the range can be granted to it at once, while
-   * the next owner would have to wait for the former one's holds to lapse.
+   * Returns the former owner, or the one that the move was planned for, if the range
+   * can be granted to it at once. Another one would have to wait for their holds to
+   * lapse.
    */
-  #findRestorableOwner({service, former, ...keys}: RangeOwner, nowMs: number) {
+  #findGrantableHolder(
+    {service, former, server, ...keys}: RangeOwner,
+    nowMs: number,
+  ): string | null {
     const {ledger, reachability, findEligible} = this.dependencies;
-    if (former === null || findEligible(former) === null) return null;
-    if (reachability.isUnreachable(former, nowMs)) return null;
-    return ledger.freeAtMs(service, keys, former) <= nowMs ? former : null;
+    for (const holder of [former, server]) {
+      if (holder === null || findEligible(holder) === null) continue;
+      if (reachability.isUnreachable(holder, nowMs)) continue;
+      if (ledger.freeAtMs(service, keys, holder) <= nowMs) return holder;
+    }
+    return null;
   }
 
   #logWait(range: RangeOwner, candidate: GatewayServer | null, waitMs: number) {
