--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,7 +41,7 @@
  * The same share for the assigner, the VM that assigns key ranges to servers. The
  * other VMs rely on its reads.
  */
-const ASSIGNER_LONG_POLL_RATIO = 0.25;
+const ASSIGNER_LONG_POLL_RATIO = 0.35;
 /**
  * Age of the assigner's last read of bundles, as a share of the `config` setting,
  * above which a VM reads them itself.
