Take a read for no more than it shows

Found when the change was read again. An answer that holds only a part of the records (the store's answers end at 1 MiB: two bundles of 500 KB) counted as all records until then, and one that came without a record before its wait was over counted as having waited. Both new tests failed before. Now only an answer up to the end of the log counts, and the wait only if it has passed.

--- a/packages/core/src/types/gateway-ports.ts
+++ b/packages/core/src/types/gateway-ports.ts
@@ -26,6 +26,8 @@
 export interface KeyedBatch {
   readonly records: readonly KeyedRecord[];
   readonly nextOffset: number;
+  /** End of the log at the time of the answer; above `nextOffset` if there is more. */
+  readonly endOffset: number;
 }
 
 /**
--- a/packages/gateway/src/store/bundle-holder.ts
+++ b/packages/gateway/src/store/bundle-holder.ts
@@ -127,8 +127,7 @@
   #apply(event: FollowEvent): void {
     // An image holds the newest record of every key, `records` the later ones.
     if (event.kind !== 'image' && event.kind !== 'records') return;
-    // Only the
-    // newest bundle matters, and decoding a large one takes long.
+    // Only the newest bundle matters, and decoding a large one takes long.
     for (const record of [...event.records].reverse()) {
       if (this.#adoptRecord(record)) break;
     }
--- a/packages/gateway/src/store/log-follower.ts
+++ b/packages/gateway/src/store/log-follower.ts
@@ -165,17 +165,22 @@
       return true;
     }
     this.#markRegained();
+    const {records, nextOffset, endOffset} = batch.value;
     // Records may have been skipped during the read.
-    const nextOffset = this.#offset;
-    this.#offset = Math.max(nextOffset, batch.value.nextOffset);
-    const records = batch.value.records.filter(
-      ({offset}) => offset >= nextOffset,
-    );
-    this.#logSlowRead('records', batch.value.records, startedAtMs, waitMs);
-    if (records.length > 0) this.#channel.emit({kind: 'records', records});
-    // A read without records has waited for them, so that there were none until then.
-    this.#readAtMs =
-      startedAtMs + (batch.value.records.length === 0 ? waitMs : 0);
+    const fromOffset = this.#offset;
+    this.#offset = Math.max(fromOffset, nextOffset);
+    this.#logSlowRead('records', records, startedAtMs, waitMs);
+    const unknown = records.filter(({offset}) => offset >= fromOffset);
+    if (unknown.length > 0) {
+      this.#channel.emit({kind: 'records', records: unknown});
+    }
+    // The answer to one read may not hold all records.
+    if (nextOffset >= endOffset) {
+      const tookMs = this.clock.monotonicMs() - startedAtMs;
+      // A read that has waited in vain shows that there was no record until then.
+      const hasWaited = records.length === 0 && tookMs >= waitMs;
+      this.#readAtMs = startedAtMs + (hasWaited ? waitMs : 0);
+    }
     return true;
   }
 
--- a/packages/gateway/test/log-follower.test.ts
+++ b/packages/gateway/test/log-follower.test.ts
@@ -18,7 +18,7 @@
       await sleep(10);
       failures -= 1;
       if (failures >= 0) return Result.err(ERRORS.logUnavailable('timeout'));
-      return Result.ok({records: [], nextOffset: 0});
+      return Result.ok({records: [], nextOffset: 0, endOffset: 0});
     },
   } as unknown as KeyedLog;
   const follower = new LogFollower(
@@ -41,3 +41,45 @@
   const regained = lines.find(line => line.includes('event=log-regained'));
   expect(regained).toMatch(/lost_ms=\d+ failed_reads=3/);
 });
+
+// Guards against knowledge that counts as fresh although the answer held only a part of the
+// records, or came without having waited for one.
+it.each([
+  ['a part of the records', 5, 0, 0, -10],
+  ['no record, without a wait', 0, 0, 500, 0],
+])(
+  'an answer with %s is not taken for more',
+  async (_, end, nextOffset, waitMs, knownMs) => {
+    const clock = new SystemClock();
+    let startedAtMs = Infinity;
+    const log = {
+      newest: async () => {
+        await sleep(20);
+        return Result.ok({records: [], endOffset: 0});
+      },
+      read: async () => {
+        startedAtMs = clock.monotonicMs();
+        await sleep(20);
+        return Result.ok({records: [], nextOffset, endOffset: end});
+      },
+    } as unknown as KeyedLog;
+    const follower = new LogFollower(
+      log,
+      'bundles',
+      {
+        waitMs: () => waitMs,
+        // One read after the image.
+        pauseMs: () => (startedAtMs === Infinity ? 0 : 10_000),
+        isNeeded: () => true,
+        maxGapMs: 60_000,
+      },
+      clock,
+      createLogger({level: 'error', process: 'test', zone: 'a'}),
+    );
+    follower.start();
+    await sleep(100);
+    follower.close();
+    expect(follower.readAtMs).toBeLessThanOrEqual(startedAtMs + knownMs);
+    expect(startedAtMs).toBeLessThan(Infinity);
+  },
+);
