--- a/packages/gateway/test/coordinator.test.ts
+++ b/packages/gateway/test/coordinator.test.ts
@@ -279,29 +279,45 @@
   });
 });
 
-// Guards against VMs that take old knowledge for fresh: a heartbeat that had waited in full
-// links and unread sockets counted from the time at which it was read.
-it('the age of what the assigner has read includes the time on the link', async () => {
-  const maxDelayMs = 1_000;
+/**
+ * Opens an assigner that states all the time that it has just read the logs.
+ *
+ * @param readClockMs - Clock that it states; without one, it is of an earlier version.
+ */
+async function openAssigner(readClockMs?: () => number) {
   const [port = 0] = await freePorts(1);
   const assigner = new PeerServer(logger);
   await assigner.listen('127.0.0.1', port);
-  const link = await SlowLink.open(`127.0.0.1:${port}`);
-  const follower = new ElectedCoordinator();
-  await follower.create(recordOf('vm-2', link.address));
   const heartbeats = setInterval(
     () =>
       assigner.broadcast({
         kind: 'heartbeat',
         term: 0,
         isLogLost: false,
-        clockMs: clock.monotonicMs(),
+        ...(readClockMs === undefined ? {} : {clockMs: readClockMs()}),
         serversAgeMs: 0,
         bundlesAgeMs: 0,
         bundlesOffset: 0,
       }),
     100,
   );
+  const close = () => {
+    clearInterval(heartbeats);
+    assigner.close();
+  };
+  return {assigner, address: `127.0.0.1:${port}`, close};
+}
+
+// Guards against VMs that take old knowledge for fresh: a heartbeat that had waited in full
+// links and unread sockets counted from the time at which it was read.
+it('the age of what the assigner has read includes the time on the link', async () => {
+  const maxDelayMs = 1_000;
+  const {assigner, address, close} = await openAssigner(() =>
+    clock.monotonicMs(),
+  );
+  const link = await SlowLink.open(address);
+  const follower = new ElectedCoordinator();
+  await follower.create(recordOf('vm-2', link.address));
   void assigner.messages.stream.observe(({message, reply}) => {
     if (message.kind !== 'probe' && message.kind !== 'hello') return;
     reply({
@@ -330,41 +346,25 @@
     const {serversAgeMs, bundlesAgeMs} = follower.coordinator.assignerReads;
     agesMs.push(serversAgeMs, bundlesAgeMs);
   }
-  clearInterval(heartbeats);
   await follower.close();
-  assigner.close();
+  close();
   link.close();
   expect(Math.min(...agesMs)).toBeGreaterThanOrEqual(maxDelayMs);
 });
 
 it('a VM sends no probe to an assigner of an earlier version', async () => {
-  const [port = 0] = await freePorts(1);
-  const assigner = new PeerServer(logger);
-  await assigner.listen('127.0.0.1', port);
+  const {assigner, address, close} = await openAssigner();
   const kinds: string[] = [];
   void assigner.messages.stream.observe(({message}) =>
     kinds.push(message.kind),
   );
-  const heartbeats = setInterval(
-    () =>
-      assigner.broadcast({
-        kind: 'heartbeat',
-        term: 0,
-        isLogLost: false,
-        serversAgeMs: 0,
-        bundlesAgeMs: 0,
-        bundlesOffset: 0,
-      }),
-    100,
-  );
   const follower = new ElectedCoordinator();
-  await follower.create(recordOf('vm-2', `127.0.0.1:${port}`));
+  await follower.create(recordOf('vm-2', address));
   follower.coordinator.start();
   await new Promise(resolve => setTimeout(resolve, 1_500));
   const {serversAgeMs} = follower.coordinator.assignerReads;
-  clearInterval(heartbeats);
   await follower.close();
-  assigner.close();
+  close();
   expect(kinds).toEqual(['hello']);
   // Without its clock, nothing is known of the age.
   expect(serversAgeMs).toBe(Infinity);
